feat(decisions): pure decision modules and repository layout

Cause: the repository was empty; every later part calls these decisions. Change: npm workspaces, formatter and linter, and the pure modules for routing, admission, cold starts, calls, the claim ledger, configuration, membership and placement. Deficit round robin of the first design became start-time fair queueing, because a round per quantum makes one million-token prompt cost hundreds of rounds. Measured: nothing yet; type check and lint are clean. Conclusion: the shells can be built on these.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,87 @@
+import gts from 'gts';
+import {houseRules} from './scripts/house_rules.mjs';
+
+const BANNED_MODULES = [
+  'node:cluster',
+  'cluster',
+  'http-proxy',
+  'node:worker_threads',
+  'worker_threads',
+];
+const CHILD_PROCESS = ['node:child_process', 'child_process'];
+
+export default [
+  {ignores: ['dist/', 'node_modules/']},
+  ...gts,
+  {
+    files: ['**/*.ts'],
+    plugins: {house: houseRules},
+    languageOptions: {
+      parserOptions: {project: './tsconfig.json', projectService: false},
+    },
+    rules: {
+      'house/one-export': 'error',
+      'n/no-unpublished-import': 'off',
+      'n/no-missing-import': 'off',
+      'n/no-extraneous-import': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-floating-promises': 'error',
+      '@typescript-eslint/consistent-type-imports': 'error',
+      'no-restricted-syntax': [
+        'error',
+        {selector: 'TSEnumDeclaration', message: 'Use a string union.'},
+        {
+          selector: 'ExportDefaultDeclaration',
+          message: 'Use a named export.',
+        },
+      ],
+    },
+  },
+  {
+    files: ['scripts/**/*.mjs', 'eslint.config.js'],
+    languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
+  },
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {paths: [...BANNED_MODULES, ...CHILD_PROCESS]},
+      ],
+    },
+  },
+  {
+    files: ['packages/decisions/src/**/*.ts'],
+    ignores: ['**/__tests__/**'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              regex: '^(node:|@figfall/|effect)',
+              message: 'Decisions import no I/O and no other package.',
+            },
+          ],
+        },
+      ],
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'process',
+        'performance',
+      ],
+      'no-restricted-properties': [
+        'error',
+        {object: 'Date', property: 'now'},
+        {object: 'Math', property: 'random'},
+      ],
+    },
+  },
+  {
+    files: ['**/__tests__/**/*.ts'],
+    rules: {'@typescript-eslint/no-floating-promises': 'off'},
+  },
+];
--- /dev/null
+++ b/packages/decisions/src/calls/call_machine.ts
@@ -0,0 +1,256 @@
+import {createFailure} from '../errors/create_failure.js';
+import type {EventHandlers} from '../shared/event_handlers.js';
+import {handleEvent} from '../shared/handle_event.js';
+import type {CallCommand} from './call_command.js';
+import type {CallEvent} from './call_event.js';
+import type {CallOptions} from './call_options.js';
+import {callRecovery} from './call_recovery.js';
+import type {CallState} from './call_state.js';
+import type {CallStep} from './call_step.js';
+
+type Context = readonly [CallOptions, number];
+
+function quiet(state: CallState): CallStep {
+  return {state, commands: []};
+}
+
+function attach(state: CallState, now: number): CallStep {
+  const {agentId, attemptId} = state;
+  if (!agentId || !attemptId) return quiet(state);
+  return {
+    state: {...state, askedAt: now},
+    commands: [{type: 'attach', agentId, attemptId, from: state.nextIndex}],
+  };
+}
+
+function cancelCommands(state: CallState): CallCommand[] {
+  const {agentId, attemptId} = state;
+  if (!agentId || !attemptId || state.phase === 'routing') return [];
+  return [{type: 'cancel', agentId, attemptId}];
+}
+
+function onRouted(
+  state: CallState,
+  event: Extract<CallEvent, {type: 'routed'}>,
+  now: number,
+): CallStep {
+  const {agentId, agentIncarnation, attemptId} = event;
+  const {nextIndex: resumeIndex} = state;
+  const alone = state.crashes > 0;
+  return {
+    state: {
+      ...state,
+      phase: 'opening',
+      agentId,
+      agentIncarnation,
+      attemptId,
+      ranBefore: state.ran,
+      heardAt: now,
+      askedAt: now,
+    },
+    commands: [{type: 'open', agentId, attemptId, resumeIndex, alone}],
+  };
+}
+
+function onNotRouted(
+  state: CallState,
+  event: Extract<CallEvent, {type: 'not-routed'}>,
+): CallStep {
+  const failure =
+    event.failure.kind === 'no-backend-server' && state.lastFailure
+      ? state.lastFailure
+      : event.failure;
+  return callRecovery.end(state, failure);
+}
+
+function onAccepted(state: CallState, now: number): CallStep {
+  if (state.phase !== 'opening') return quiet({...state, heardAt: now});
+  return quiet({
+    ...state,
+    phase: 'active',
+    attempts: state.attempts + 1,
+    ran: state.ran === 'no' ? 'unknown' : state.ran,
+    refusedBy: [],
+    heardAt: now,
+  });
+}
+
+function onTokens(
+  state: CallState,
+  event: Extract<CallEvent, {type: 'tokens'}>,
+  now: number,
+): CallStep {
+  const heard = {...state, heardAt: now};
+  if (event.index > state.nextIndex) return attach(heard, now);
+  const fresh = event.texts.slice(state.nextIndex - event.index);
+  if (fresh.length === 0) return quiet(heard);
+  return {
+    state: {
+      ...heard,
+      phase: 'active',
+      ran: 'yes',
+      nextIndex: state.nextIndex + fresh.length,
+    },
+    commands: [{type: 'emit', texts: fresh}],
+  };
+}
+
+function onDone(
+  state: CallState,
+  event: Extract<CallEvent, {type: 'done'}>,
+  now: number,
+): CallStep {
+  if (event.count > state.nextIndex) return attach(state, now);
+  return {
+    state: {...state, phase: 'ended'},
+    commands: [{type: 'complete'}],
+  };
+}
+
+function onUnseen(
+  state: CallState,
+  event: Extract<CallEvent, {type: 'unseen'}>,
+  options: CallOptions,
+): CallStep {
+  const neverRan = event.agentIncarnation === state.agentIncarnation;
+  const unran = neverRan ? {...state, ran: state.ranBefore} : state;
+  const failure = neverRan
+    ? createFailure('link-lost', 'The request was lost on its way.', {
+        ran: 'no',
+      })
+    : createFailure(
+        'backend-lost',
+        'The node that ran the request has been replaced.',
+      );
+  return callRecovery.afterFailure(unran, failure, false, options);
+}
+
+function onLinkDown(
+  state: CallState,
+  event: Extract<CallEvent, {type: 'link-down'}>,
+  now: number,
+): CallStep {
+  const isOurs = state.agentId === event.agentId;
+  if (!isOurs || !['opening', 'active'].includes(state.phase)) {
+    return quiet(state);
+  }
+  const ran = state.ran === 'no' ? 'unknown' : state.ran;
+  return quiet({...state, phase: 'detached', detachedAt: now, ran});
+}
+
+function onLinkUp(
+  state: CallState,
+  event: Extract<CallEvent, {type: 'link-up'}>,
+  options: CallOptions,
+  now: number,
+): CallStep {
+  const isOurs = state.agentId === event.agentId;
+  if (!isOurs || state.phase !== 'detached') return quiet(state);
+  if (event.agentIncarnation !== state.agentIncarnation) {
+    const failure = createFailure(
+      'backend-lost',
+      'The node that ran the request has restarted.',
+    );
+    return callRecovery.afterFailure(state, failure, false, options);
+  }
+  return attach({...state, phase: 'active', heardAt: now}, now);
+}
+
+function onDeadline(state: CallState): CallStep {
+  const failure = createFailure(
+    'deadline-exceeded',
+    'The request did not finish before its deadline.',
+    state.ran === 'no' ? {ran: 'no'} : {},
+  );
+  const ended = callRecovery.end(state, failure);
+  return {
+    state: ended.state,
+    commands: [...cancelCommands(state), ...ended.commands],
+  };
+}
+
+function onTick(state: CallState, options: CallOptions, now: number): CallStep {
+  if (now >= options.deadlineAt) return onDeadline(state);
+  if (state.phase === 'detached') {
+    if (now - state.detachedAt < options.detachMs) return quiet(state);
+    const failure = createFailure(
+      'link-lost',
+      'The node that ran the request can no longer be reached.',
+    );
+    return callRecovery.afterFailure(state, failure, false, options);
+  }
+  const silentSince = Math.max(state.heardAt, state.askedAt);
+  const isWaiting = state.phase === 'opening' || state.phase === 'active';
+  if (!isWaiting || now - silentSince < options.progressMs) {
+    return quiet(state);
+  }
+  return attach(state, now);
+}
+
+function onCallerGone(state: CallState): CallStep {
+  return {
+    state: {...state, phase: 'ended'},
+    commands: cancelCommands(state),
+  };
+}
+
+const HANDLERS: EventHandlers<CallState, CallEvent, CallStep, Context> = {
+  routed: (state, event, _options, now) => onRouted(state, event, now),
+  'not-routed': onNotRouted,
+  accepted: (state, _event, _options, now) => onAccepted(state, now),
+  refused: (state, event, options) =>
+    callRecovery.afterRefusal(state, event.failure, options),
+  tokens: (state, event, _options, now) => onTokens(state, event, now),
+  done: (state, event, _options, now) => onDone(state, event, now),
+  failed: (state, event, options) =>
+    callRecovery.afterFailure(state, event.failure, event.crashed, options),
+  alive: (state, _event, _options, now) =>
+    state.phase === 'opening'
+      ? onAccepted(state, now)
+      : quiet({...state, heardAt: now}),
+  unseen: onUnseen,
+  'link-down': (state, event, _options, now) => onLinkDown(state, event, now),
+  'link-up': onLinkUp,
+  'caller-gone': state => onCallerGone(state),
+  tick: (state, _event, options, now) => onTick(state, options, now),
+};
+
+/** True where an event is of an attempt that has been given up. */
+function isStale(state: CallState, event: CallEvent): boolean {
+  return 'attemptId' in event && event.type !== 'routed'
+    ? event.attemptId !== state.attemptId
+    : false;
+}
+
+/**
+ * Takes one caller's request from routing to its answer. Late, doubled and
+ * crossed frames are recognised by attempt and token index. A request that
+ * may not repeat is tried again only where it certainly did not run.
+ */
+export const callMachine = {
+  start(options: CallOptions, now: number): CallStep {
+    const state: CallState = {
+      phase: 'routing',
+      attempts: 0,
+      refusedBy: [],
+      nextIndex: 0,
+      ran: 'no',
+      ranBefore: 'no',
+      crashes: options.crashes,
+      heardAt: now,
+      detachedAt: now,
+      askedAt: now,
+    };
+    return callRecovery.routeAgain(state, []);
+  },
+
+  step(
+    state: CallState,
+    event: CallEvent,
+    options: CallOptions,
+    now: number,
+  ): CallStep {
+    if (state.phase === 'ended' || isStale(state, event)) return quiet(state);
+    return handleEvent(HANDLERS, state, event, options, now);
+  },
+};
--- /dev/null
+++ b/packages/decisions/src/calls/call_options.ts
@@ -0,0 +1,17 @@
+/** Options of one caller's request at an entry. */
+export interface CallOptions {
+  /** A request that may run more than once. */
+  readonly idempotent: boolean;
+  /** Time in milliseconds by which the caller must have its answer. */
+  readonly deadlineAt: number;
+  /** Agents that may refuse before the caller is refused. */
+  readonly maxOffers: number;
+  /** Attempts that may reach a backend server. */
+  readonly maxAttempts: number;
+  /** Milliseconds without a frame after which the agent is asked. */
+  readonly progressMs: number;
+  /** Milliseconds to wait for a lost link before moving elsewhere. */
+  readonly detachMs: number;
+  /** Engine crashes already recorded for this request. */
+  readonly crashes: number;
+}
--- /dev/null
+++ b/packages/decisions/src/door/call_class.ts
@@ -0,0 +1,2 @@
+/** Scheduling class of a request, by the prompt tokens it must prefill. */
+export type CallClass = 'short' | 'long';
--- /dev/null
+++ b/packages/decisions/src/door/door_admission.ts
@@ -0,0 +1,139 @@
+import {createFailure} from '../errors/create_failure.js';
+import type {Failure} from '../errors/failure.js';
+import type {DoorCall} from './door_call.js';
+import {doorLoad} from './door_load.js';
+import type {DoorOptions} from './door_options.js';
+import type {DoorState} from './door_state.js';
+
+/** Queue places for each request that a cold backend server bears. */
+const COLD_QUEUE_FACTOR = 2;
+
+type Check = (
+  state: DoorState,
+  call: DoorCall,
+  options: DoorOptions,
+  now: number,
+) => Failure | undefined;
+
+const checkDeclared: Check = ({condition}) =>
+  condition.declared
+    ? undefined
+    : createFailure(
+        'not-declared',
+        'No record declares this backend server. Apply a backend-server record for it.',
+      );
+
+const checkLeaving: Check = ({condition}) =>
+  condition.leaving
+    ? createFailure('leaving', 'This backend server is shutting down.')
+    : undefined;
+
+const checkZone: Check = ({condition}) =>
+  condition.zoneIn
+    ? undefined
+    : createFailure('zone-out', 'The availability zone is out of service.');
+
+const checkServer: Check = ({condition}) =>
+  condition.serverIn
+    ? undefined
+    : createFailure('server-out', 'The backend server is out of service.');
+
+const checkTarget: Check = ({condition}, call) =>
+  condition.serves.includes(call.target)
+    ? undefined
+    : createFailure(
+        'model-not-loaded',
+        `"${call.target}" is not loaded on this backend server.`,
+      );
+
+const checkReservation: Check = (state, call) =>
+  call.reservationId === undefined ||
+  state.reservations.get(call.reservationId)?.granted
+    ? undefined
+    : createFailure('memory-full', 'The reservation of this call has expired.');
+
+const checkMemory: Check = (_state, call, options) =>
+  call.reservationId !== undefined || call.totalTokens <= options.totalTokens
+    ? undefined
+    : createFailure(
+        'memory-full',
+        `The call needs ${call.totalTokens} tokens of memory; this backend server has ${options.totalTokens}.`,
+      );
+
+const checkZoneLimit: Check = ({condition}) =>
+  condition.zoneShare > 0
+    ? undefined
+    : createFailure(
+        'zone-limit',
+        "This backend server's share of the availability zone's limit is 0.",
+      );
+
+const checkCold: Check = state => {
+  if (state.coldStart.phase !== 'cold') return undefined;
+  const waiting = state.queue.items.length;
+  const places = state.coldStart.limit * COLD_QUEUE_FACTOR;
+  if (state.running.size + waiting < state.coldStart.limit + places) {
+    return undefined;
+  }
+  return createFailure(
+    'cold-start-limit',
+    'The backend server is in a cold start and has all the work that it bears.',
+  );
+};
+
+const checkQueue: Check = (state, call, options) => {
+  const calls = state.queue.items.length;
+  const tokens = state.queue.tokens + call.promptTokens;
+  const tokensFit = calls === 0 || tokens <= options.queueTokens;
+  if (calls < options.queueCalls && tokensFit) return undefined;
+  return createFailure(
+    'queue-full',
+    'The queue of this backend server is full.',
+  );
+};
+
+const checkDeadline: Check = (state, call, options, now) => {
+  if (options.kind === 'plain-service') {
+    return call.deadlineAt > now
+      ? undefined
+      : createFailure('deadline-infeasible', 'The deadline has passed.');
+  }
+  const waitMs = doorLoad.firstTokenMs(
+    state,
+    call.callClass,
+    call.promptTokens,
+  );
+  if (now + waitMs < call.deadlineAt) return undefined;
+  return createFailure(
+    'deadline-infeasible',
+    `The first token would take about ${Math.ceil(waitMs)} ms, which is past the deadline.`,
+    {retryAfterMs: Math.ceil(waitMs)},
+  );
+};
+
+const CHECKS: readonly Check[] = [
+  checkDeclared,
+  checkLeaving,
+  checkZone,
+  checkServer,
+  checkTarget,
+  checkReservation,
+  checkMemory,
+  checkZoneLimit,
+  checkCold,
+  checkQueue,
+  checkDeadline,
+];
+
+/** Returns why a call can't be admitted, or nothing where it can. */
+export function doorAdmission(
+  state: DoorState,
+  call: DoorCall,
+  options: DoorOptions,
+  now: number,
+): Failure | undefined {
+  return CHECKS.reduce<Failure | undefined>(
+    (failure, check) => failure ?? check(state, call, options, now),
+    undefined,
+  );
+}
--- /dev/null
+++ b/packages/decisions/src/door/door_condition.ts
@@ -0,0 +1,15 @@
+/** What records and the life cycle say of a backend server now. */
+export interface DoorCondition {
+  /** A record declares the backend server. */
+  readonly declared: boolean;
+  /** The availability zone is in service. */
+  readonly zoneIn: boolean;
+  /** The backend server is in service. */
+  readonly serverIn: boolean;
+  /** The agent or its backend server is shutting down. */
+  readonly leaving: boolean;
+  /** Models, or the one service, that can be called here. */
+  readonly serves: readonly string[];
+  /** This server's share of the availability zone's limit. */
+  readonly zoneShare: number;
+}
--- /dev/null
+++ b/packages/decisions/src/door/door_dispatch.ts
@@ -0,0 +1,156 @@
+import {mapWith} from '../shared/map_with.js';
+import {tokenBucket} from '../shared/token_bucket.js';
+import type {DoorCall} from './door_call.js';
+import {doorLoad} from './door_load.js';
+import type {DoorOptions} from './door_options.js';
+import type {DoorState} from './door_state.js';
+import type {DoorStep} from './door_step.js';
+import {fairQueue} from './fair_queue.js';
+import {prefillMeter} from './prefill_meter.js';
+
+/** Long prompts that one engine prefills at once. */
+const LONG_PREFILLS = 1;
+
+/** Factor over the undisturbed time at which a long prefill is overdue. */
+const OVERDUE_FACTOR = 2;
+
+const PRIORITY = {short: 0, long: 10} as const;
+
+function longPrefills(state: DoorState) {
+  return doorLoad.prefills(state).filter(run => run.call.callClass === 'long');
+}
+
+function hasOverdueLong(state: DoorState, now: number): boolean {
+  const rate = prefillMeter.rate(state.meter);
+  return longPrefills(state).some(run => {
+    const undisturbedMs = (run.call.promptTokens / rate) * 1_000;
+    return now - run.dispatchedAt > undisturbedMs * OVERDUE_FACTOR;
+  });
+}
+
+function passingLimits(state: DoorState, options: DoorOptions) {
+  const perSecond = prefillMeter.rate(state.meter) * (1 - options.longReserve);
+  return {perSecond, burst: perSecond};
+}
+
+function fitsClass(
+  state: DoorState,
+  call: DoorCall,
+  options: DoorOptions,
+  now: number,
+): boolean {
+  if (call.callClass === 'long') {
+    return longPrefills(state).length < LONG_PREFILLS;
+  }
+  const inFlight = doorLoad
+    .prefills(state)
+    .filter(run => run.call.callClass === 'short')
+    .reduce((tokens, run) => tokens + run.call.promptTokens, 0);
+  const budget =
+    (prefillMeter.rate(state.meter) * options.shortPrefillMs) / 1_000;
+  if (inFlight > 0 && inFlight + call.promptTokens > budget) return false;
+  if (!hasOverdueLong(state, now)) return true;
+  const limits = passingLimits(state, options);
+  const tokens = Math.min(call.promptTokens, limits.burst);
+  return tokenBucket.take(state.passing, limits, tokens, now).taken;
+}
+
+function fitsMemory(
+  state: DoorState,
+  call: DoorCall,
+  options: DoorOptions,
+): boolean {
+  if (call.reservationId !== undefined) {
+    return state.reservations.get(call.reservationId)?.granted === true;
+  }
+  return call.totalTokens <= doorLoad.freeTokens(state, options);
+}
+
+function hasRoom(
+  state: DoorState,
+  call: DoorCall,
+  options: DoorOptions,
+  now: number,
+): boolean {
+  const runs = [...state.running.values()];
+  if (runs.some(run => run.call.alone)) return false;
+  if (call.alone && runs.length > 0) return false;
+  if (runs.length >= doorLoad.runningLimit(state)) return false;
+  if (!fitsMemory(state, call, options)) return false;
+  return options.kind === 'plain-service'
+    ? true
+    : fitsClass(state, call, options, now);
+}
+
+/** Returns the call that has waited past the ageing bound the longest. */
+function oldestAged(
+  state: DoorState,
+  options: DoorOptions,
+  now: number,
+): DoorCall | undefined {
+  return fairQueue
+    .calls(state.queue)
+    .filter(call => now - call.arrivedAt > options.agingMs)
+    .reduce<DoorCall | undefined>(
+      (oldest, call) =>
+        oldest && oldest.arrivedAt <= call.arrivedAt ? oldest : call,
+      undefined,
+    );
+}
+
+function takeNext(state: DoorState, options: DoorOptions, now: number) {
+  const aged = oldestAged(state, options, now);
+  const waitsForLong =
+    aged?.callClass === 'long' && longPrefills(state).length > 0;
+  if (!aged || waitsForLong) {
+    return fairQueue.dequeue(state.queue, call =>
+      hasRoom(state, call, options, now),
+    );
+  }
+  return fairQueue.dequeue(
+    state.queue,
+    call => call === aged && hasRoom(state, call, options, now),
+  );
+}
+
+function start(
+  state: DoorState,
+  call: DoorCall,
+  options: DoorOptions,
+  now: number,
+): DoorState {
+  const limits = passingLimits(state, options);
+  const paysForPassing =
+    call.callClass === 'short' && hasOverdueLong(state, now);
+  const tokens = Math.min(call.promptTokens, limits.burst);
+  return {
+    ...state,
+    running: mapWith(state.running, call.callId, {call, dispatchedAt: now}),
+    meter: prefillMeter.started(state.meter, now),
+    passing: paysForPassing
+      ? tokenBucket.take(state.passing, limits, tokens, now).bucket
+      : state.passing,
+  };
+}
+
+function canDispatch({condition}: DoorState): boolean {
+  const {declared, zoneIn, serverIn, leaving} = condition;
+  return declared && zoneIn && serverIn && !leaving;
+}
+
+/** Dispatches queued calls as long as there is room for them. */
+export function doorDispatch(
+  state: DoorState,
+  options: DoorOptions,
+  now: number,
+): DoorStep {
+  if (!canDispatch(state)) return {state, commands: []};
+  const {state: queue, call} = takeNext(state, options, now);
+  if (!call) return {state, commands: []};
+  const aged = now - call.arrivedAt > options.agingMs;
+  const priority = aged ? PRIORITY.short : PRIORITY[call.callClass];
+  const started = start({...state, queue}, call, options, now);
+  const rest = doorDispatch(started, options, now);
+  const dispatch = {type: 'dispatch', callId: call.callId, priority} as const;
+  return {state: rest.state, commands: [dispatch, ...rest.commands]};
+}
--- /dev/null
+++ b/packages/decisions/src/door/door_event.ts
@@ -0,0 +1,31 @@
+import type {DoorCall} from './door_call.js';
+import type {DoorCondition} from './door_condition.js';
+
+/** What the door of an agent learns. */
+export type DoorEvent =
+  | {readonly type: 'offer'; readonly call: DoorCall; readonly weight: number}
+  | {readonly type: 'cancel'; readonly callId: string}
+  | {readonly type: 'first-token'; readonly callId: string}
+  | {readonly type: 'token-interval'; readonly intervalMs: number}
+  | {
+      readonly type: 'finished';
+      readonly callId: string;
+      readonly healthy: boolean;
+    }
+  | {
+      readonly type: 'load-report';
+      readonly incarnation: string;
+      readonly saysCold: boolean;
+    }
+  | {readonly type: 'connection-lost'}
+  | {readonly type: 'condition'; readonly condition: DoorCondition}
+  | {readonly type: 'options-changed'}
+  | {
+      /** Also extends a reservation that is held already. */
+      readonly type: 'reserve';
+      readonly reservationId: string;
+      readonly tokens: number;
+      readonly expiresAt: number;
+    }
+  | {readonly type: 'release'; readonly reservationId: string}
+  | {readonly type: 'tick'};
--- /dev/null
+++ b/packages/decisions/src/door/door_load.ts
@@ -0,0 +1,75 @@
+import type {DoorOptions} from './door_options.js';
+import type {DoorState} from './door_state.js';
+import {fairQueue} from './fair_queue.js';
+import {prefillMeter} from './prefill_meter.js';
+import type {RunningCall} from './running_call.js';
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function prefills(state: DoorState): RunningCall[] {
+  return [...state.running.values()].filter(
+    run => run.firstTokenAt === undefined,
+  );
+}
+
+function callTokens(state: DoorState): number {
+  return sum(
+    [...state.running.values()]
+      .filter(run => run.call.reservationId === undefined)
+      .map(run => run.call.totalTokens),
+  );
+}
+
+function reserved(state: DoorState, granted: boolean): number {
+  return sum(
+    [...state.reservations.values()]
+      .filter(reservation => reservation.granted === granted)
+      .map(reservation => reservation.tokens),
+  );
+}
+
+/** Figures that follow from the state of a door. */
+export const doorLoad = {
+  /** Calls whose prompt is being prefilled. */
+  prefills,
+
+  /** Tokens that no running call and no granted reservation holds. */
+  unheldTokens(state: DoorState, options: DoorOptions): number {
+    return options.totalTokens - callTokens(state) - reserved(state, true);
+  },
+
+  /** Tokens that a new call may take. */
+  freeTokens(state: DoorState, options: DoorOptions): number {
+    return doorLoad.unheldTokens(state, options) - reserved(state, false);
+  },
+
+  /** Largest number of calls that may run now. */
+  runningLimit(state: DoorState): number {
+    return Math.min(state.coldStart.limit, state.condition.zoneShare);
+  },
+
+  /** Prompt tokens that are queued or being prefilled. */
+  pendingTokens(state: DoorState): number {
+    const prefilling = prefills(state).map(run => run.call.promptTokens);
+    return state.queue.tokens + sum(prefilling);
+  },
+
+  /**
+   * Predicts in milliseconds when a new call has its first token. A short
+   * call waits for short work alone, since it passes long prefills.
+   */
+  firstTokenMs(
+    state: DoorState,
+    callClass: 'short' | 'long',
+    promptTokens: number,
+  ): number {
+    const ahead = [
+      ...fairQueue.calls(state.queue),
+      ...prefills(state).map(run => run.call),
+    ].filter(call => callClass === 'long' || call.callClass === 'short');
+    const tokens = sum(ahead.map(call => call.promptTokens)) + promptTokens;
+    return (tokens / prefillMeter.rate(state.meter)) * 1_000;
+  },
+};
--- /dev/null
+++ b/packages/decisions/src/door/prefill_meter.ts
@@ -0,0 +1,53 @@
+/** Prompt tokens prefilled over the time in which any prefill ran. */
+interface MeterState {
+  readonly busyMs: number;
+  readonly tokens: number;
+  readonly inFlight: number;
+  readonly updatedAt: number;
+}
+
+/** Busy time after which older samples lose half of their weight. */
+const WINDOW_MS = 2_000;
+
+/** Weight of the assumed rate, as busy time. */
+const PRIOR_MS = 500;
+
+function advance(state: MeterState, now: number): MeterState {
+  const elapsed = Math.max(0, now - state.updatedAt);
+  const busyMs = state.busyMs + (state.inFlight > 0 ? elapsed : 0);
+  const scale = busyMs > WINDOW_MS ? 0.5 : 1;
+  return {
+    ...state,
+    busyMs: busyMs * scale,
+    tokens: state.tokens * scale,
+    updatedAt: now,
+  };
+}
+
+/** Measures the effective prefill rate of a backend server. */
+export const prefillMeter = {
+  create(assumedRate: number, now: number): MeterState {
+    const tokens = (assumedRate * PRIOR_MS) / 1_000;
+    return {busyMs: PRIOR_MS, tokens, inFlight: 0, updatedAt: now};
+  },
+
+  started(state: MeterState, now: number): MeterState {
+    const next = advance(state, now);
+    return {...next, inFlight: next.inFlight + 1};
+  },
+
+  /** Records the end of a prefill, with the tokens that it covered. */
+  ended(state: MeterState, tokens: number, now: number): MeterState {
+    const next = advance(state, now);
+    return {
+      ...next,
+      inFlight: Math.max(0, next.inFlight - 1),
+      tokens: next.tokens + tokens,
+    };
+  },
+
+  /** Returns the rate in tokens a second. */
+  rate(state: MeterState): number {
+    return Math.max(1, (state.tokens / Math.max(1, state.busyMs)) * 1_000);
+  },
+};
--- /dev/null
+++ b/packages/decisions/src/ledger/claim_writer.ts
@@ -0,0 +1,194 @@
+import {createFailure} from '../errors/create_failure.js';
+import type {EventHandlers} from '../shared/event_handlers.js';
+import {handleEvent} from '../shared/handle_event.js';
+import {applyClaimChanges} from './apply_claim_changes.js';
+import type {ClaimChange} from './claim_change.js';
+import type {ClaimResult} from './claim_result.js';
+import type {ClaimWriterCommand} from './claim_writer_command.js';
+import type {ClaimWriterEvent} from './claim_writer_event.js';
+import type {ClaimWriterOptions} from './claim_writer_options.js';
+import type {ClaimWriterState} from './claim_writer_state.js';
+import {segmentSize} from './segment_size.js';
+
+interface Step {
+  readonly state: ClaimWriterState;
+  readonly commands: readonly ClaimWriterCommand[];
+}
+
+type Context = readonly [ClaimWriterOptions, number];
+
+function attemptOf(change: ClaimChange): string {
+  return change.type === 'claim' ? change.claim.attemptId : change.attemptId;
+}
+
+function settle(result: ClaimResult): ClaimWriterCommand {
+  return {type: 'settle', result};
+}
+
+function succeeded(change: ClaimChange): ClaimWriterCommand {
+  const attemptId = attemptOf(change);
+  return settle({
+    type: change.type === 'claim' ? 'granted' : 'stored',
+    attemptId,
+  });
+}
+
+function unavailable(change: ClaimChange): ClaimWriterCommand {
+  const failure = createFailure(
+    'ledger-unavailable',
+    'The platform did not record the request in time. It was not run; send it again with the same key.',
+  );
+  return settle({type: 'failed', attemptId: attemptOf(change), failure});
+}
+
+function dropLate(state: ClaimWriterState, now: number): Step {
+  const isLate = (change: ClaimChange) => change.deadlineAt <= now;
+  const late = [...state.waiting, ...state.carried].filter(isLate);
+  return {
+    state: {
+      ...state,
+      waiting: state.waiting.filter(change => !isLate(change)),
+      carried: state.carried.filter(change => !isLate(change)),
+    },
+    commands: late.map(unavailable),
+  };
+}
+
+function read(state: ClaimWriterState): Step {
+  return {state: {...state, mode: 'reading'}, commands: [{type: 'read'}]};
+}
+
+function flush(
+  state: ClaimWriterState,
+  options: ClaimWriterOptions,
+  now: number,
+): Step {
+  const {known} = state;
+  if (!known) return read(state);
+  const applied = applyClaimChanges(known.segment, state.waiting, known.readAt);
+  const settled = applied.settled.map(settle);
+  const rest = {...state, waiting: applied.unsettled};
+  if (applied.segment === known.segment) {
+    const held = applied.pending.map(succeeded);
+    const next = applied.unsettled.length > 0 ? read(rest) : undefined;
+    return {
+      state: next?.state ?? rest,
+      commands: [...settled, ...held, ...(next?.commands ?? [])],
+    };
+  }
+  const segment = {
+    ...applied.segment,
+    sealed:
+      applied.segment.sealed ||
+      segmentSize(applied.segment) >= options.sealBytes,
+  };
+  return {
+    state: {
+      ...rest,
+      mode: 'writing',
+      carried: applied.pending,
+      written: segment,
+      notBefore: now + options.minIntervalMs,
+    },
+    commands: [
+      ...settled,
+      {type: 'write', expectedVersion: known.version, segment},
+    ],
+  };
+}
+
+/** Starts the next read or write, where one is due. */
+function proceed(
+  state: ClaimWriterState,
+  options: ClaimWriterOptions,
+  now: number,
+): Step {
+  const isDue =
+    state.mode === 'idle' && state.waiting.length > 0 && now >= state.notBefore;
+  return isDue ? flush(state, options, now) : {state, commands: []};
+}
+
+function reload(state: ClaimWriterState, notBefore: number): ClaimWriterState {
+  return {
+    ...state,
+    mode: 'idle',
+    known: undefined,
+    written: undefined,
+    waiting: [...state.carried, ...state.waiting],
+    carried: [],
+    notBefore,
+  };
+}
+
+function onWritten(
+  state: ClaimWriterState,
+  version: number,
+  now: number,
+): Step {
+  const segment = state.written;
+  return {
+    state: {
+      ...state,
+      mode: 'idle',
+      known: segment && {version, segment, readAt: now},
+      written: undefined,
+      carried: [],
+    },
+    commands: state.carried.map(succeeded),
+  };
+}
+
+function quiet(state: ClaimWriterState): Step {
+  return {state, commands: []};
+}
+
+const HANDLERS: EventHandlers<
+  ClaimWriterState,
+  ClaimWriterEvent,
+  Step,
+  Context
+> = {
+  submit: (state, event) =>
+    quiet({...state, waiting: [...state.waiting, event.change]}),
+  read: (state, event, _options, now) =>
+    quiet({
+      ...state,
+      mode: 'idle',
+      known: {version: event.version, segment: event.segment, readAt: now},
+    }),
+  'read-failed': (state, _event, options, now) =>
+    quiet({...state, mode: 'idle', notBefore: now + options.retryMs}),
+  written: (state, event, _options, now) =>
+    onWritten(state, event.version, now),
+  conflict: state => quiet(reload(state, 0)),
+  'write-lost': (state, _event, options, now) =>
+    quiet(reload(state, now + options.retryMs)),
+  tick: quiet,
+};
+
+/**
+ * Writes the claims of one ledger segment in batches, each by one conditional
+ * update. A write whose answer was lost is settled by reading the object and
+ * looking for the attempt, and where it is missing by a write against the
+ * version read, so that at most one of the two takes effect.
+ */
+export const claimWriter = {
+  create(): ClaimWriterState {
+    return {mode: 'idle', waiting: [], carried: [], notBefore: 0};
+  },
+
+  step(
+    state: ClaimWriterState,
+    event: ClaimWriterEvent,
+    options: ClaimWriterOptions,
+    now: number,
+  ): Step {
+    const handled = handleEvent(HANDLERS, state, event, options, now);
+    const timely = dropLate(handled.state, now);
+    const next = proceed(timely.state, options, now);
+    return {
+      state: next.state,
+      commands: [...handled.commands, ...timely.commands, ...next.commands],
+    };
+  },
+};
--- /dev/null
+++ b/packages/decisions/src/shared/event_handlers.ts
@@ -0,0 +1,13 @@
+/** A table with one handler for each type of event. */
+export type EventHandlers<
+  State,
+  Event extends {readonly type: string},
+  Step,
+  Context extends readonly unknown[],
+> = {
+  readonly [Type in Event['type']]: (
+    state: State,
+    event: Extract<Event, {readonly type: Type}>,
+    ...context: Context
+  ) => Step;
+};
--- /dev/null
+++ b/packages/decisions/src/shared/random_source.ts
@@ -0,0 +1,2 @@
+/** Returns a number from 0 (included) to 1 (excluded). */
+export type RandomSource = () => number;
--- /dev/null
+++ b/packages/decisions/src/shared/rank_by_rendezvous.ts
@@ -0,0 +1,16 @@
+import type {HashFunction} from './hash_function.js';
+
+/**
+ * Orders ids by highest random weight for a key. Adding or removing an id
+ * leaves the relative order of the others unchanged.
+ */
+export function rankByRendezvous(
+  key: string,
+  ids: readonly string[],
+  hash: HashFunction,
+): string[] {
+  return ids
+    .map(id => ({id, weight: hash(`${key}\u0000${id}`)}))
+    .sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1))
+    .map(({id}) => id);
+}
--- /dev/null
+++ b/scripts/run_tests.mjs
@@ -0,0 +1,13 @@
+import {execSync, spawnSync} from 'node:child_process';
+
+const list = execSync(
+  "git ls-files --cached --others --exclude-standard '*.test.ts'",
+  {encoding: 'utf8'},
+);
+const files = [...new Set(list.split('\n').filter(Boolean))];
+const run = spawnSync(
+  process.execPath,
+  ['--import', 'tsx', '--test', '--test-reporter=spec', ...files],
+  {stdio: 'inherit'},
+);
+process.exit(run.status ?? 1);
