feat: clients for the platform, engines and services, and the node link

Cause: entry and agent need their peers behind typed interfaces. Change: HTTP exchanges that tell 'not sent' from 'lost', the platform and engine clients, records in two schema versions, CBOR links with a keyed handshake, heartbeats and a window for each stream.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -40,7 +40,10 @@
   },
   {
     files: ['scripts/**/*.mjs', 'eslint.config.js'],
-    languageOptions: {globals: {process: 'readonly', console: 'readonly'}},
+    languageOptions: {
+      sourceType: 'module',
+      globals: {process: 'readonly', console: 'readonly'},
+    },
   },
   {
     files: ['packages/**/*.ts'],
--- /dev/null
+++ b/packages/http-client/src/read_body.ts
@@ -0,0 +1,18 @@
+import type {IncomingMessage} from 'node:http';
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import type {HttpFailure} from './http_failure.js';
+
+/** Reads the whole body of a response; a cut body is `lost`. */
+export async function readBody(
+  res: IncomingMessage,
+): Promise<Result<Buffer, HttpFailure>> {
+  try {
+    const chunks: Buffer[] = [];
+    for await (const chunk of res) chunks.push(chunk as Buffer);
+    if (!res.complete) return err({type: 'lost', message: 'The body was cut.'});
+    return ok(Buffer.concat(chunks));
+  } catch (error) {
+    return err({type: 'lost', message: (error as Error).message});
+  }
+}
--- /dev/null
+++ b/packages/model-engine/src/index.ts
@@ -0,0 +1,7 @@
+export * from './create_model_engine.js';
+export * from './engine_event.js';
+export * from './engine_load.js';
+export * from './engine_order.js';
+export * from './generate_request.js';
+export * from './model_engine.js';
+export * from './segment_request.js';
--- /dev/null
+++ b/packages/node-link/src/messages/peer_message.ts
@@ -0,0 +1,80 @@
+import type {
+  AgentReport,
+  ConfigDigest,
+  ConfigEntry,
+  Failure,
+} from '@figfall/decisions';
+import type {OpenCall} from './open_call.js';
+import type {PlainResponse} from './plain_response.js';
+
+/** Messages between figfall processes. */
+export type PeerMessage =
+  | {readonly type: 'open'; readonly call: OpenCall}
+  | {
+      readonly type: 'body';
+      readonly callId: string;
+      readonly bytes: Uint8Array;
+    }
+  | {
+      readonly type: 'attach';
+      readonly callId: string;
+      /** Index of the first token that the entry lacks. */
+      readonly from: number;
+    }
+  | {readonly type: 'cancel'; readonly callId: string}
+  | {
+      readonly type: 'reserve';
+      readonly reservationId: string;
+      readonly tokens: number;
+      readonly ttlMs: number;
+    }
+  | {readonly type: 'release'; readonly reservationId: string}
+  | {readonly type: 'reserved'; readonly reservationId: string}
+  | {
+      readonly type: 'not-reserved';
+      readonly reservationId: string;
+      readonly failure: Failure;
+    }
+  | {readonly type: 'accepted'; readonly callId: string}
+  | {
+      readonly type: 'refused';
+      readonly callId: string;
+      readonly failure: Failure;
+      /** Agent that alone can tell the outcome, where there is one. */
+      readonly askAgent?: string;
+    }
+  | {
+      readonly type: 'tokens';
+      readonly callId: string;
+      readonly index: number;
+      readonly texts: readonly string[];
+    }
+  | {
+      readonly type: 'done';
+      readonly callId: string;
+      readonly count: number;
+      readonly response?: PlainResponse;
+      /** Handle of the KV cache that a segment left. */
+      readonly carry?: string;
+    }
+  | {
+      readonly type: 'failed';
+      readonly callId: string;
+      readonly failure: Failure;
+      readonly crashed: boolean;
+    }
+  | {readonly type: 'alive'; readonly callId: string}
+  | {
+      readonly type: 'unseen';
+      readonly callId: string;
+      readonly incarnation: string;
+    }
+  | {readonly type: 'report'; readonly report: AgentReport}
+  | {
+      readonly type: 'suspect';
+      readonly fingerprint: string;
+      readonly crashes: number;
+    }
+  | {readonly type: 'digest'; readonly digest: ConfigDigest}
+  | {readonly type: 'records'; readonly entries: readonly ConfigEntry[]}
+  | {readonly type: 'ask'; readonly above: number};
--- /dev/null
+++ b/packages/node-link/src/transport/create_link.ts
@@ -0,0 +1,94 @@
+import {createHmac, randomBytes} from 'node:crypto';
+import type {Socket} from 'node:net';
+import {frameCodec} from '../codec/frame_codec.js';
+import {LINK} from '../constants.js';
+import type {NodeIdentity} from '../messages/node_identity.js';
+import {linkSession} from '../session/link_session.js';
+import type {LinkSessionCommand} from '../session/link_session_command.js';
+import type {LinkSessionEvent} from '../session/link_session_event.js';
+import {messageCost} from '../session/message_cost.js';
+import type {Link} from './link.js';
+import type {LinkEvent} from './link_event.js';
+import type {LinkOptions} from './link_options.js';
+
+const NONCE_BYTES = 16;
+
+/** Runs one end of a link over a connected socket. */
+export function createLink(
+  socket: Socket,
+  options: LinkOptions,
+  onEvent: (event: LinkEvent) => void,
+): Link {
+  const sessionOptions = {
+    node: options.node,
+    nonce: randomBytes(NONCE_BYTES).toString('hex'),
+    sign: (text: string) =>
+      createHmac('sha256', options.key).update(text).digest('hex'),
+    heartbeatMs: options.heartbeatMs ?? LINK.HEARTBEAT_MS,
+    silenceMs: options.silenceMs ?? LINK.SILENCE_MS,
+    handshakeMs: LINK.HANDSHAKE_MS,
+  };
+  const reader = frameCodec.createReader();
+  const started = linkSession.start(sessionOptions, Date.now());
+  let state = started.state;
+  let peer: NodeIdentity | undefined;
+  let isClosed = false;
+
+  const close = (reason: string): void => {
+    if (isClosed) return;
+    isClosed = true;
+    socket.destroy();
+    onEvent({type: 'link-down', link, peer, reason});
+  };
+
+  const execute = (command: LinkSessionCommand): void => {
+    const executors: {
+      [Type in LinkSessionCommand['type']]: (
+        command: Extract<LinkSessionCommand, {type: Type}>,
+      ) => void;
+    } = {
+      write: ({frame}) => {
+        if (!isClosed) socket.write(frameCodec.encode(frame));
+      },
+      up: up => {
+        peer = up.peer;
+        onEvent({type: 'link-up', link, peer: up.peer});
+      },
+      deliver: ({stream, message, cost}) =>
+        onEvent({type: 'message', link, stream, message, cost}),
+      close: ({reason}) => close(reason),
+    };
+    (executors[command.type] as (command: LinkSessionCommand) => void)(command);
+  };
+
+  const step = (event: LinkSessionEvent): void => {
+    const next = linkSession.step(state, event, sessionOptions, Date.now());
+    state = next.state;
+    next.commands.forEach(execute);
+  };
+
+  const link: Link = {
+    linkId: sessionOptions.nonce,
+    peer: () => peer,
+    send: (stream, message) =>
+      step({type: 'send', stream, message, cost: messageCost(message)}),
+    consumed: (stream, cost) => {
+      if (cost > 0) step({type: 'consumed', stream, cost});
+    },
+    endStream: stream => step({type: 'end-stream', stream}),
+    close,
+    tick: () => step({type: 'tick'}),
+    bytes: () => ({sent: socket.bytesWritten, received: socket.bytesRead}),
+  };
+
+  socket.setNoDelay(true);
+  socket.on('data', chunk => {
+    const frames = reader.push(chunk);
+    if (frames.isErr()) return close(frames.error.message);
+    frames.value.forEach(frame => step({type: 'frame', frame}));
+  });
+  socket.on('error', error => close(error.message));
+  socket.on('close', () => close('the connection was closed'));
+  started.commands.forEach(execute);
+  return link;
+}
--- /dev/null
+++ b/packages/operator/src/record_keys.ts
@@ -0,0 +1,18 @@
+import type {RecordKind} from './record_kind.js';
+
+const CONFIG_PREFIX = 'config/';
+const STATUS_PREFIX = 'status/';
+
+/** Keys of the objects in which records and status are kept. */
+export const recordKeys = {
+  prefix: CONFIG_PREFIX,
+  statusPrefix: STATUS_PREFIX,
+
+  record(kind: RecordKind, name: string): string {
+    return `${CONFIG_PREFIX}${kind}/${name}`;
+  },
+
+  status(id: string): string {
+    return `${STATUS_PREFIX}${id}`;
+  },
+};
--- /dev/null
+++ b/packages/task/src/index.ts
@@ -0,0 +1,4 @@
+export * from './create_task.js';
+export * from './repeat_every.js';
+export * from './run_scoped.js';
+export * from './task.js';
--- /dev/null
+++ b/packages/weight-store/src/index.ts
@@ -0,0 +1,1 @@
+export * from './create_weight_permits.js';
