--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,10 @@
     },
     rules: {
       'house/one-export': 'error',
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {argsIgnorePattern: '^_', varsIgnorePattern: '^_'},
+      ],
       'n/no-unpublished-import': 'off',
       'n/no-missing-import': 'off',
       'n/no-extraneous-import': 'off',
--- /dev/null
+++ b/packages/caller/src/answers/chunk_formats.ts
@@ -0,0 +1,58 @@
+import type {CompletionRequest} from '../requests/completion_request.js';
+
+interface Usage {
+  readonly prompt_tokens: number;
+  readonly completion_tokens: number;
+  readonly total_tokens: number;
+}
+
+/** JSON forms of an answer, for one kind of request. */
+interface AnswerFormat {
+  readonly chunk: (id: string, model: string, text: string) => object;
+  readonly whole: (
+    id: string,
+    model: string,
+    text: string,
+    usage: Usage,
+  ) => object;
+}
+
+/** JSON forms of answers by kind of request. */
+export const CHUNK_FORMATS: Record<CompletionRequest['kind'], AnswerFormat> = {
+  completion: {
+    chunk: (id, model, text) => ({
+      id,
+      object: 'text_completion',
+      model,
+      choices: [{index: 0, text, finish_reason: null}],
+    }),
+    whole: (id, model, text, usage) => ({
+      id,
+      object: 'text_completion',
+      model,
+      choices: [{index: 0, text, finish_reason: 'stop'}],
+      usage,
+    }),
+  },
+  chat: {
+    chunk: (id, model, text) => ({
+      id,
+      object: 'chat.completion.chunk',
+      model,
+      choices: [{index: 0, delta: {content: text}, finish_reason: null}],
+    }),
+    whole: (id, model, text, usage) => ({
+      id,
+      object: 'chat.completion',
+      model,
+      choices: [
+        {
+          index: 0,
+          message: {role: 'assistant', content: text},
+          finish_reason: 'stop',
+        },
+      ],
+      usage,
+    }),
+  },
+};
--- /dev/null
+++ b/packages/caller/src/requests/caller_identity.ts
@@ -0,0 +1,8 @@
+/** Who sent a request, and until when it must be answered. */
+export interface CallerIdentity {
+  readonly requestId: string;
+  readonly workspace: string;
+  readonly token: string;
+  readonly timeoutMs: number;
+  readonly traceparent?: string;
+}
--- /dev/null
+++ b/packages/caller/src/requests/read_identity.ts
@@ -0,0 +1,63 @@
+import {randomUUID} from 'node:crypto';
+import type {IncomingHttpHeaders} from 'node:http';
+import {createFailure} from '@figfall/decisions';
+import type {Failure} from '@figfall/decisions';
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import {CALLER} from '../constants.js';
+import {CALLER_HEADERS} from './caller_headers.js';
+import type {CallerIdentity} from './caller_identity.js';
+
+const BEARER = /^Bearer (\S+)$/i;
+
+function readTimeout(text: string | undefined): Result<number, Failure> {
+  if (text === undefined) return ok(CALLER.TIMEOUT_MS);
+  const value = Number(text);
+  if (Number.isInteger(value) && value > 0 && value <= CALLER.TIMEOUT_MAX_MS) {
+    return ok(value);
+  }
+  return err(
+    createFailure(
+      'bad-request',
+      `${CALLER_HEADERS.timeout} is "${text}"; it must be a whole number of milliseconds from 1 to ${CALLER.TIMEOUT_MAX_MS}.`,
+    ),
+  );
+}
+
+function single(headers: IncomingHttpHeaders, name: string) {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Reads workspace, bearer token and timeout from the headers. */
+export function readIdentity(
+  headers: IncomingHttpHeaders,
+): Result<CallerIdentity, Failure> {
+  const token = BEARER.exec(headers.authorization ?? '')?.[1];
+  if (!token) {
+    return err(
+      createFailure(
+        'unauthorized',
+        'Send "Authorization: Bearer TOKEN" with the token of your workspace.',
+      ),
+    );
+  }
+  const workspace = single(headers, CALLER_HEADERS.workspace);
+  if (!workspace) {
+    return err(
+      createFailure(
+        'bad-request',
+        `Send the name of your workspace in ${CALLER_HEADERS.workspace}.`,
+      ),
+    );
+  }
+  return readTimeout(single(headers, CALLER_HEADERS.timeout)).map(
+    timeoutMs => ({
+      requestId: randomUUID(),
+      workspace,
+      token,
+      timeoutMs,
+      traceparent: single(headers, 'traceparent'),
+    }),
+  );
+}
--- a/packages/decisions/src/calls/call_machine.ts
+++ b/packages/decisions/src/calls/call_machine.ts
@@ -233,7 +233,7 @@
       phase: 'routing',
       attempts: 0,
       refusedBy: [],
-      nextIndex: 0,
+      nextIndex: options.resumeFrom,
       ran: 'no',
       ranBefore: 'no',
       crashes: options.crashes,
--- a/packages/decisions/src/calls/call_options.ts
+++ b/packages/decisions/src/calls/call_options.ts
@@ -14,4 +14,6 @@
   readonly detachMs: number;
   /** Engine crashes already recorded for this request. */
   readonly crashes: number;
+  /** Tokens that the caller already has from an earlier group of engines. */
+  readonly resumeFrom: number;
 }
--- a/packages/decisions/src/ledger/claim.ts
+++ b/packages/decisions/src/ledger/claim.ts
@@ -1,11 +1,4 @@
-/** Outcome of a call that may not repeat, as a resend gets it. */
-interface ClaimOutcome {
-  /** HTTP status of the plain service. */
-  readonly status: number;
-  readonly contentType: string;
-  /** Body as base64; undefined where it was too large to keep. */
-  readonly body?: string;
-}
+import type {ClaimOutcome} from './claim_outcome.js';
 
 /** The claim of one idempotency key by one attempt. */
 export interface Claim {
--- a/packages/decisions/src/ledger/claim_change.ts
+++ b/packages/decisions/src/ledger/claim_change.ts
@@ -1,3 +1,4 @@
+import type {ClaimOutcome} from './claim_outcome.js';
 import type {Claim} from './claim.js';
 
 /** A change of a ledger segment that waits to be written. */
@@ -14,7 +15,7 @@
       readonly type: 'outcome';
       readonly key: string;
       readonly attemptId: string;
-      readonly outcome: NonNullable<Claim['outcome']>;
+      readonly outcome: ClaimOutcome;
       readonly submittedAt: number;
       readonly deadlineAt: number;
     };
--- a/packages/decisions/src/ledger/judge_claim.ts
+++ b/packages/decisions/src/ledger/judge_claim.ts
@@ -1,3 +1,4 @@
+import type {ClaimOutcome} from './claim_outcome.js';
 import {createFailure} from '../errors/create_failure.js';
 import type {Failure} from '../errors/failure.js';
 import type {Claim} from './claim.js';
@@ -17,7 +18,7 @@
 type Judgement =
   | {
       readonly type: 'answer';
-      readonly outcome: NonNullable<Claim['outcome']>;
+      readonly outcome: ClaimOutcome;
     }
   | {
       /** The attempt never runs; a new one may replace it. */
--- a/packages/decisions/src/routing/plan_group.ts
+++ b/packages/decisions/src/routing/plan_group.ts
@@ -7,11 +7,13 @@
 /** The part of a prompt that one engine of a group holds. */
 interface GroupMember {
   readonly agentId: string;
-  /** Tokens to reserve on the engine. */
+  /** Prompt tokens that the engine holds. */
+  readonly promptTokens: number;
+  /** Tokens to reserve on the engine, output included. */
   readonly tokens: number;
 }
 
-/** Tokens that a prompt needs and how its segments may be cut. */
+/** Tokens that a prompt needs. */
 interface GroupNeed {
   readonly promptTokens: number;
   /** Tokens that may be generated; the last engine holds them. */
@@ -22,8 +24,9 @@
 /** Share of an engine's memory that a group may use. */
 const GROUP_SHARE = 0.85;
 
-function usable(view: AgentView): number {
-  return Math.floor(view.report.totalTokens * GROUP_SHARE);
+function usable(view: AgentView, need: GroupNeed): number {
+  const tokens = Math.floor(view.report.totalTokens * GROUP_SHARE);
+  return Math.max(0, tokens - need.outputTokens);
 }
 
 function preference(view: AgentView, zone: string): number {
@@ -32,39 +35,58 @@
   return away * 0.25 + (1 - free);
 }
 
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+/** Takes views in order until they hold the prompt together. */
+function takeEnough(
+  ranked: readonly AgentView[],
+  need: GroupNeed,
+): readonly AgentView[] {
+  const count = ranked.findIndex((_, i) => {
+    const held = ranked.slice(0, i + 1).map(view => usable(view, need));
+    return sum(held) >= need.promptTokens;
+  });
+  return ranked.slice(0, count + 1);
+}
+
+function tooLong(largest: number, need: GroupNeed): Failure {
+  return createFailure(
+    'prompt-too-long',
+    `The prompt has about ${need.promptTokens} tokens; at most ${largest} can be served now. Shorten the prompt.`,
+  );
+}
+
 /**
- * Plans the engines that together hold a prompt which one engine can't. The
- * members come in one global order, by agent id, so that two plans that want
- * the same engines never wait for each other.
+ * Plans the engines that together hold a prompt which one engine can't, each
+ * with a part in proportion to its memory. The members come in one global
+ * order, by agent id, so that two plans that want the same engines never wait
+ * for each other.
  */
 export function planGroup(
   views: readonly AgentView[],
   need: GroupNeed,
 ): Result<readonly GroupMember[], Failure> {
-  const total = need.promptTokens + need.outputTokens;
-  const capacity = views.reduce((sum, view) => sum + usable(view), 0);
-  if (total > capacity) {
-    const largest = Math.max(0, capacity - need.outputTokens);
-    return err(
-      createFailure(
-        'prompt-too-long',
-        `The prompt has about ${need.promptTokens} tokens; at most ${largest} can be served now. Shorten the prompt.`,
-      ),
-    );
-  }
+  const largest = sum(views.map(view => usable(view, need)));
+  if (need.promptTokens > largest) return err(tooLong(largest, need));
   const ranked = [...views].sort(
     (a, b) =>
       preference(a, need.zone) - preference(b, need.zone) ||
       (a.report.agentId < b.report.agentId ? -1 : 1),
   );
-  const plan = ranked.reduce<{members: GroupMember[]; left: number}>(
-    ({members, left}, view) => {
-      if (left <= 0) return {members, left};
-      const tokens = Math.min(left, usable(view));
-      const member = {agentId: view.report.agentId, tokens};
-      return {members: [...members, member], left: left - tokens};
-    },
-    {members: [], left: total},
-  );
-  return ok(plan.members.sort((a, b) => (a.agentId < b.agentId ? -1 : 1)));
+  const chosen = takeEnough(ranked, need);
+  const held = sum(chosen.map(view => usable(view, need)));
+  const members = chosen
+    .map(view => {
+      const share = usable(view, need) / held;
+      const promptTokens = Math.ceil(need.promptTokens * share);
+      return {
+        agentId: view.report.agentId,
+        promptTokens,
+        tokens: promptTokens + need.outputTokens,
+      };
+    })
+    .sort((a, b) => (a.agentId < b.agentId ? -1 : 1));
+  return ok(members);
 }
--- /dev/null
+++ b/packages/figfall/src/agent/agent_core.ts
@@ -0,0 +1,261 @@
+import {unownedWork} from '@figfall/decisions';
+import type {DoorCommand, Instance} from '@figfall/decisions';
+import type {EngineLoad} from '@figfall/model-engine';
+import type {LinkEvent, PeerMessage} from '@figfall/node-link';
+import {ConfigReplica} from '../node/config_replica.js';
+import {LinkTable} from '../node/link_table.js';
+import type {NodeContext} from '../node/node_context.js';
+import {RevisionBoard} from '../node/revision_board.js';
+import {AgentCallTable} from './agent_call_table.js';
+import {AGENT} from './agent_constants.js';
+import {AgentDoor} from './agent_door.js';
+import type {AgentMessage} from './agent_message.js';
+import {AgentReporter} from './agent_reporter.js';
+import type {AgentSettings} from './agent_settings.js';
+import {buildCondition} from './build_condition.js';
+import {buildDoorOptions} from './build_door_options.js';
+import {CallDesk} from './call_desk.js';
+import type {CallRunner} from './call_runner.js';
+import {OpenDesk} from './open_desk.js';
+import type {OrderDesk} from './order_desk.js';
+
+interface AgentCoreOptions {
+  readonly context: NodeContext;
+  readonly settings: AgentSettings;
+  readonly runner: CallRunner;
+  readonly orders: OrderDesk;
+}
+
+type Handlers = {
+  readonly [Type in AgentMessage['type']]: (
+    message: Extract<AgentMessage, {readonly type: Type}>,
+  ) => void;
+};
+
+type PeerEvent = Extract<LinkEvent, {readonly type: 'message'}>;
+
+type PeerHandlers = {
+  readonly [Type in PeerMessage['type']]?: (
+    message: Extract<PeerMessage, {readonly type: Type}>,
+    event: PeerEvent,
+  ) => void;
+};
+
+/** The state of an agent; only the agent's task calls it. */
+export class AgentCore {
+  private readonly links = new LinkTable();
+  private readonly board = new RevisionBoard();
+  /** Link of the entry that asked for each reservation. */
+  private readonly reservers = new Map<string, string>();
+  private readonly replica: ConfigReplica;
+  private readonly calls: AgentCallTable;
+  private readonly door: AgentDoor;
+  private readonly offers: OpenDesk;
+  private readonly desk: CallDesk;
+  private readonly reporter: AgentReporter;
+  private instances: readonly Instance[] = [];
+  private load?: EngineLoad;
+  private unowned = unownedWork.empty();
+  private leaving = false;
+  private digestAt = 0;
+
+  constructor(private readonly options: AgentCoreOptions) {
+    const {context, settings, runner} = options;
+    const {links, board} = this;
+    this.replica = new ConfigReplica({
+      hash: context.hash,
+      links,
+      onChange: () => this.refresh(),
+    });
+    this.calls = new AgentCallTable(context, links);
+    this.door = new AgentDoor(this.condition(), this.doorOptions(), command =>
+      this.execute(command),
+    );
+    const door = () => this.door;
+    const {calls, replica} = this;
+    this.offers = new OpenDesk({calls, door, replica});
+    this.desk = new CallDesk({context, calls, door, runner});
+    this.reporter = new AgentReporter({
+      context,
+      settings,
+      links,
+      board,
+      door,
+      revision: () => this.replica.view().revision,
+      isReady: () => this.replica.isLoaded() && this.load !== undefined,
+    });
+  }
+
+  handle(message: AgentMessage): void {
+    const handler = this.handlers[message.type] as (
+      message: AgentMessage,
+    ) => void;
+    handler(message);
+  }
+
+  /** True while calls have not ended. */
+  isBusy(): boolean {
+    return this.calls.all().some(({record}) => record.status !== 'ended');
+  }
+
+  instanceList(): readonly Instance[] {
+    return this.instances;
+  }
+
+  /** Kind of the backend server, once a record declares it. */
+  backendKind() {
+    const {backendServer} = this.options.settings;
+    return this.replica.view().find('backend-server', backendServer)?.kind;
+  }
+
+  private readonly handlers: Handlers = {
+    link: ({event}) => this.onLink(event),
+    entries: ({entries}) => {
+      this.replica.merge(entries);
+      this.offers.review();
+    },
+    instances: ({instances}) => {
+      this.instances = instances;
+      this.refresh();
+    },
+    load: ({load}) => this.onLoad(load),
+    engine: message => this.desk.handle(message),
+    lost: message => this.desk.handle(message),
+    'segment-done': message => this.desk.handle(message),
+    'service-done': message => this.desk.handle(message),
+    'known-outcome': message => this.desk.handle(message),
+    'not-claimed': message => this.desk.handle(message),
+    tick: () => this.onTick(),
+    leave: () => {
+      this.leaving = true;
+      this.refresh();
+    },
+  };
+
+  private readonly peerHandlers: PeerHandlers = {
+    open: ({call}, {link}) => this.offers.receive(link, call),
+    body: ({callId, bytes}, {link, cost}) => {
+      link.consumed(callId, cost);
+      this.desk.addBody(callId, bytes);
+    },
+    attach: ({callId, from}, {link}) => this.calls.attach(link, callId, from),
+    cancel: ({callId}) => this.desk.cancel(callId),
+    reserve: ({reservationId, tokens, ttlMs}, {link}) => {
+      this.reservers.set(reservationId, link.linkId);
+      const expiresAt = Date.now() + ttlMs;
+      this.door.step({type: 'reserve', reservationId, tokens, expiresAt});
+    },
+    release: ({reservationId}) =>
+      this.door.step({type: 'release', reservationId}),
+    suspect: ({fingerprint, crashes}, {link}) => {
+      const isNews = this.offers.recordSuspect(fingerprint, crashes);
+      const message = {type: 'suspect', fingerprint, crashes} as const;
+      if (isNews) this.links.broadcast(message, link.linkId);
+    },
+    digest: (message, {link}) => this.replica.receive(link, message),
+    records: (message, {link}) => {
+      this.replica.receive(link, message);
+      this.offers.review();
+    },
+    ask: (message, {link}) => this.replica.receive(link, message),
+  };
+
+  private onLink(event: LinkEvent): void {
+    this.links.follow(event);
+    this.board.follow(event);
+    if (event.type === 'link-up') {
+      event.link.send('control', this.replica.digestMessage());
+      this.reporter.sendTo(event.link);
+    }
+    if (event.type === 'link-down') this.calls.detach(event.link.linkId);
+    if (event.type !== 'message') return;
+    const handler = this.peerHandlers[event.message.type] as
+      ((message: PeerMessage, event: PeerEvent) => void) | undefined;
+    handler?.(event.message, event);
+  }
+
+  private execute(command: DoorCommand): void {
+    if ('callId' in command) return this.desk.execute(command);
+    const {reservationId} = command;
+    const linkId = this.reservers.get(reservationId) ?? '';
+    if (command.type !== 'reservation-ended') {
+      this.links.find(linkId)?.send(reservationId, command);
+      return;
+    }
+    this.reservers.delete(reservationId);
+    void this.options.runner.engine.cancel(reservationId);
+  }
+
+  private condition() {
+    const {settings} = this.options;
+    return buildCondition({
+      view: this.replica.view(),
+      backendServer: settings.backendServer,
+      zone: settings.zone,
+      agentId: settings.id,
+      instances: this.instances,
+      leaving: this.leaving,
+      models: this.load?.models ?? [],
+    });
+  }
+
+  private doorOptions() {
+    return buildDoorOptions(
+      this.replica.view(),
+      this.options.settings.backendServer,
+      this.load?.totalTokens ?? 0,
+    );
+  }
+
+  /** Brings the door up to what records and the backend server say. */
+  private refresh(): void {
+    this.door.setOptions(this.doorOptions());
+    this.door.step({type: 'condition', condition: this.condition()});
+    this.reporter.tick(Date.now());
+  }
+
+  private onLoad(load: EngineLoad | undefined): void {
+    if (!load) return this.door.step({type: 'connection-lost'});
+    this.load = load;
+    this.refresh();
+    const {incarnation, cold: saysCold} = load;
+    this.door.step({type: 'load-report', incarnation, saysCold});
+    this.reconcile(load.held);
+    this.options.orders.tick({
+      view: this.replica.view(),
+      instances: this.instances,
+      models: load.models,
+    });
+  }
+
+  /** Frees what the engine holds for calls that no longer exist. */
+  private reconcile(held: readonly string[]): void {
+    const isOwned = (id: string) =>
+      this.door.hasReservation(id) ||
+      this.calls.find(id)?.record.status === 'running';
+    const step = unownedWork.step(
+      this.unowned,
+      held,
+      isOwned,
+      AGENT.UNOWNED_GRACE_MS,
+      Date.now(),
+    );
+    this.unowned = step.state;
+    step.cancel.forEach(id => {
+      this.options.context.logger.info('freed unowned work', {callId: id});
+      void this.options.runner.engine.cancel(id);
+    });
+  }
+
+  private onTick(): void {
+    const now = Date.now();
+    this.door.step({type: 'tick'});
+    this.desk.sweep(now);
+    this.offers.review();
+    this.reporter.tick(now);
+    if (now - this.digestAt < AGENT.DIGEST_MS) return;
+    this.digestAt = now;
+    this.links.broadcast(this.replica.digestMessage());
+    this.reporter.sendRevisions(this.instances);
+  }
+}
--- /dev/null
+++ b/packages/figfall/src/agent/create_agent.ts
@@ -0,0 +1,107 @@
+import {createLinkServer} from '@figfall/node-link';
+import {createTask, repeatEvery} from '@figfall/task';
+import type {Task} from '@figfall/task';
+import {Effect} from 'effect';
+import type {Scope} from 'effect';
+import {createNodeContext} from '../node/create_node_context.js';
+import {pollInstances} from '../node/poll_instances.js';
+import {waitUntil} from '../node/wait_until.js';
+import {watchPlatform} from '../node/watch_platform.js';
+import {AGENT} from './agent_constants.js';
+import {AgentCore} from './agent_core.js';
+import type {AgentMessage} from './agent_message.js';
+import type {AgentSettings} from './agent_settings.js';
+import {CallRunner} from './call_runner.js';
+import {ClaimLedger} from './claim_ledger.js';
+import {GuardedRuns} from './guarded_runs.js';
+import {OrderDesk} from './order_desk.js';
+
+/** A running agent. */
+interface Agent {
+  /** Port on which entries link to the agent. */
+  readonly linkPort: number;
+  /** Takes no new work and resolves once running work has ended. */
+  readonly drain: () => Promise<void>;
+}
+
+const LEDGER_TICK_MS = 10;
+const LEDGER_RETRY_MS = 100;
+const MS_PER_SECOND = 1_000;
+
+/** Starts the agent of one backend server; it lives as long as the scope. */
+export function createAgent(
+  settings: AgentSettings,
+): Effect.Effect<Agent, Error, Scope.Scope> {
+  return Effect.gen(function* () {
+    const context = yield* Effect.promise(() =>
+      createNodeContext(settings, 'agent'),
+    );
+    const {logger, tracing} = context;
+    yield* Effect.addFinalizer(() => Effect.promise(tracing.shutdown));
+    const ledger = new ClaimLedger({
+      platform: context.platform,
+      writer: {
+        minIntervalMs:
+          (MS_PER_SECOND * AGENT.LEDGER_SHARDS) /
+          settings.ledgerWritesPerSecond,
+        sealBytes: AGENT.LEDGER_SEAL_BYTES,
+        retryMs: LEDGER_RETRY_MS,
+      },
+    });
+    const guarded = new GuardedRuns({
+      context,
+      ledger,
+      retentionMs: settings.keyRetentionMs,
+    });
+    const runner = new CallRunner({
+      context,
+      backendUrl: settings.backendUrl,
+      guarded,
+      task: () => task,
+    });
+    const orders = new OrderDesk({
+      context,
+      backendServer: settings.backendServer,
+      engine: runner.engine,
+      weightStoreLoads: settings.weightStoreLoads,
+    });
+    const core = new AgentCore({context, settings, runner, orders});
+    const task: Task<AgentMessage> = yield* createTask<AgentMessage>({
+      name: 'agent',
+      handle: message => core.handle(message),
+      onError: error =>
+        logger.error((error as Error).stack ?? String(error), {
+          kind: 'internal-error',
+        }),
+    });
+    const server = yield* createLinkServer({
+      ...context.linkOptions,
+      host: settings.linkHost,
+      port: settings.linkPort,
+      onEvent: event => task.send({type: 'link', event}),
+    });
+    yield* watchPlatform({
+      context,
+      instances: () => core.instanceList(),
+      onEntries: entries => task.send({type: 'entries', entries}),
+    });
+    yield* pollInstances(context, instances =>
+      task.send({type: 'instances', instances}),
+    );
+    yield* repeatEvery(AGENT.TICK_MS, () => task.send({type: 'tick'}));
+    yield* repeatEvery(LEDGER_TICK_MS, () => ledger.tick());
+    yield* repeatEvery(AGENT.FATE_MS / 10, () => guarded.tick());
+    yield* repeatEvery(AGENT.LOAD_MS, () => {
+      const kind = core.backendKind();
+      if (kind) void runner.readLoad(kind);
+    });
+    logger.info('agent started', {port: server.port});
+    return {
+      linkPort: server.port,
+      drain: () => {
+        task.send({type: 'leave'});
+        return waitUntil(() => !core.isBusy(), settings.shutdownMs);
+      },
+    };
+  });
+}
--- /dev/null
+++ b/packages/figfall/src/entry/agent_views.ts
@@ -0,0 +1,69 @@
+import {ROUTING} from '@figfall/decisions';
+import type {AgentReport, AgentView} from '@figfall/decisions';
+
+/** An entry's estimates of the agents that it is linked to. */
+export class AgentViews {
+  private readonly views = new Map<string, AgentView>();
+
+  all(): AgentView[] {
+    return [...this.views.values()];
+  }
+
+  find(agentId: string): AgentView | undefined {
+    return this.views.get(agentId);
+  }
+
+  /** Takes a report, which covers what was sent before it. */
+  report(report: AgentReport): void {
+    const {agentId} = report;
+    const known = this.views.get(agentId);
+    this.views.set(agentId, {
+      report,
+      reportedAt: Date.now(),
+      sentTokens: 0,
+      sentCalls: 0,
+      outstanding: known?.outstanding ?? 0,
+      linked: true,
+      avoidUntil: known?.avoidUntil ?? 0,
+    });
+  }
+
+  linkDown(agentId: string): void {
+    this.update(agentId, () => ({linked: false}));
+  }
+
+  sent(agentId: string, promptTokens: number): void {
+    this.update(agentId, view => ({
+      sentTokens: view.sentTokens + promptTokens,
+      sentCalls: view.sentCalls + 1,
+      outstanding: view.outstanding + 1,
+    }));
+  }
+
+  ended(agentId: string): void {
+    this.update(agentId, view => ({
+      outstanding: Math.max(0, view.outstanding - 1),
+    }));
+  }
+
+  refused(agentId: string): void {
+    const avoidUntil = Date.now() + ROUTING.AVOID_MS;
+    this.update(agentId, () => ({avoidUntil}));
+  }
+
+  /** Forgets agents that are not kept links to. */
+  keepOnly(agentIds: readonly string[]): void {
+    const kept = new Set(agentIds);
+    [...this.views.keys()]
+      .filter(agentId => !kept.has(agentId))
+      .forEach(agentId => this.views.delete(agentId));
+  }
+
+  private update(
+    agentId: string,
+    change: (view: AgentView) => Partial<AgentView>,
+  ): void {
+    const view = this.views.get(agentId);
+    if (view) this.views.set(agentId, {...view, ...change(view)});
+  }
+}
--- /dev/null
+++ b/packages/figfall/src/entry/build_spec.ts
@@ -0,0 +1,77 @@
+import {createHash} from 'node:crypto';
+import type {CompletionRequest, ServiceRequest} from '@figfall/caller';
+import {ROUTING, promptAffinity} from '@figfall/decisions';
+import type {HashFunction} from '@figfall/decisions';
+import type {RecordForms} from '@figfall/operator';
+import type {CallSpec} from './call_spec.js';
+
+function fingerprintOf(...parts: readonly (string | Uint8Array)[]): string {
+  const hash = createHash('sha256');
+  parts.forEach(part => hash.update(part).update('\u0000'));
+  return hash.digest('hex').slice(0, 32);
+}
+
+interface Trace {
+  readonly traceparent: string;
+}
+
+/** Builds what stays the same over all attempts of a request. */
+export const buildSpec = {
+  completion(
+    req: CompletionRequest,
+    target: string,
+    hash: HashFunction,
+    {traceparent}: Trace,
+  ): CallSpec {
+    const {identity, promptTokens, maxTokens} = req;
+    const {workspace, requestId} = identity;
+    const isLong = promptTokens > ROUTING.LONG_PROMPT_TOKENS;
+    return {
+      requestId,
+      kind: req.kind,
+      agentKind: 'model-engine',
+      workspace,
+      target,
+      callClass: isLong ? 'long' : 'short',
+      promptTokens,
+      totalTokens: promptTokens + maxTokens,
+      affinity: promptAffinity(workspace, target, req.prompt, hash),
+      fingerprint: fingerprintOf(workspace, req.body),
+      body: req.body,
+      idempotent: true,
+      deadlineAt: Date.now() + identity.timeoutMs,
+      traceparent,
+      resumeFrom: 0,
+      resumeText: '',
+    };
+  },
+
+  service(
+    req: ServiceRequest,
+    service: RecordForms['service'],
+    {traceparent}: Trace,
+  ): CallSpec {
+    const {identity, method, path, contentType, body, key} = req;
+    const {workspace, requestId} = identity;
+    return {
+      requestId,
+      kind: 'service',
+      agentKind: 'plain-service',
+      workspace,
+      target: service.name,
+      callClass: 'short',
+      promptTokens: 0,
+      totalTokens: 0,
+      affinity: key ? `${workspace}/${key.key}` : requestId,
+      fingerprint: fingerprintOf(workspace, method, path, body),
+      body,
+      idempotent: service.idempotentMethods.includes(method),
+      deadlineAt: Date.now() + identity.timeoutMs,
+      traceparent,
+      key,
+      http: {method, path, contentType},
+      resumeFrom: 0,
+      resumeText: '',
+    };
+  },
+};
--- /dev/null
+++ b/packages/figfall/src/entry/create_entry.ts
@@ -0,0 +1,108 @@
+import {createCallerServer} from '@figfall/caller';
+import type {CallerHandler} from '@figfall/caller';
+import {createFailure} from '@figfall/decisions';
+import {createLinkPool} from '@figfall/node-link';
+import {createTask, repeatEvery} from '@figfall/task';
+import type {Task} from '@figfall/task';
+import {Effect} from 'effect';
+import type {Scope} from 'effect';
+import {createNodeContext} from '../node/create_node_context.js';
+import type {NodeContext} from '../node/node_context.js';
+import {pollInstances} from '../node/poll_instances.js';
+import {waitUntil} from '../node/wait_until.js';
+import {watchPlatform} from '../node/watch_platform.js';
+import {authorize} from './authorize.js';
+import {ENTRY} from './entry_constants.js';
+import {EntryCore} from './entry_core.js';
+import type {EntryMessage} from './entry_message.js';
+import type {EntrySettings} from './entry_settings.js';
+import {findTarget} from './find_target.js';
+
+/** A running entry. */
+interface Entry {
+  /** Port on which callers are served. */
+  readonly httpPort: number;
+  readonly isReady: () => boolean;
+  /** Takes no new requests and resolves once open ones have ended. */
+  readonly drain: () => Promise<void>;
+}
+
+function createHandler(
+  core: EntryCore,
+  task: Task<EntryMessage>,
+  context: NodeContext,
+): CallerHandler {
+  return {
+    refuse: identity => {
+      if (core.isLeaving()) {
+        return createFailure('leaving', 'This entry is shutting down.');
+      }
+      if (!core.isReady()) {
+        return createFailure('not-ready', 'This entry has no records yet.');
+      }
+      return authorize(core.view(), identity);
+    },
+    complete: (req, sink) => task.send({type: 'complete', req, sink}),
+    callService: (req, onGone) =>
+      new Promise(reply => task.send({type: 'service', req, onGone, reply})),
+    models: workspace => findTarget.models(core.view(), workspace),
+    isReady: () => core.isReady(),
+    metrics: () => context.metrics.registry.metrics(),
+  };
+}
+
+/** Starts an entry, which lives as long as the scope. */
+export function createEntry(
+  settings: EntrySettings,
+): Effect.Effect<Entry, Error, Scope.Scope> {
+  return Effect.gen(function* () {
+    const context = yield* Effect.promise(() =>
+      createNodeContext(settings, 'entry'),
+    );
+    const {logger, tracing, linkOptions, random} = context;
+    yield* Effect.addFinalizer(() => Effect.promise(tracing.shutdown));
+    const core = new EntryCore({
+      context,
+      settings,
+      setPeers: peers => pool.setPeers(peers),
+      send: message => task.send(message),
+    });
+    const task: Task<EntryMessage> = yield* createTask<EntryMessage>({
+      name: 'entry',
+      handle: message => core.handle(message),
+      onError: error =>
+        logger.error((error as Error).stack ?? String(error), {
+          kind: 'internal-error',
+        }),
+    });
+    const pool = yield* createLinkPool({
+      ...linkOptions,
+      random,
+      onEvent: event => task.send({type: 'link', event}),
+    });
+    yield* watchPlatform({
+      context,
+      instances: () => core.instanceList(),
+      onEntries: entries => task.send({type: 'entries', entries}),
+    });
+    yield* pollInstances(context, instances =>
+      task.send({type: 'instances', instances}),
+    );
+    yield* repeatEvery(ENTRY.TICK_MS, () => task.send({type: 'tick'}));
+    const server = yield* createCallerServer({
+      host: settings.httpHost,
+      port: settings.httpPort,
+      handler: createHandler(core, task, context),
+    });
+    logger.info('entry started', {port: server.port});
+    return {
+      httpPort: server.port,
+      isReady: () => core.isReady(),
+      drain: async () => {
+        task.send({type: 'leave'});
+        await waitUntil(() => !core.isBusy(), settings.shutdownMs);
+        server.stopListening();
+      },
+    };
+  });
+}
--- /dev/null
+++ b/packages/figfall/src/entry/entry_settings.ts
@@ -0,0 +1,12 @@
+import type {RoutingPolicy} from '@figfall/decisions';
+import type {NodeSettings} from '../node/node_settings.js';
+
+/** Settings of an entry. */
+export interface EntrySettings extends NodeSettings {
+  readonly httpHost: string;
+  /** 0 chooses a free port. */
+  readonly httpPort: number;
+  readonly routingPolicy: RoutingPolicy;
+  /** Links kept for each model and service. */
+  readonly linksPerTarget: number;
+}
--- /dev/null
+++ b/packages/figfall/src/node/count_platform_calls.ts
@@ -0,0 +1,32 @@
+import type {Platform} from '@figfall/platform';
+import type {Result} from 'neverthrow';
+import type {Metrics} from '../observability/metrics.js';
+
+type Answer = Promise<Result<unknown, {readonly type: string}>>;
+
+/** Wraps a platform so that its calls are counted by method and result. */
+export function countPlatformCalls(
+  platform: Platform,
+  metrics: Metrics,
+): Platform {
+  const counted = <Args extends unknown[], Value extends Answer>(
+    method: string,
+    call: (...args: Args) => Value,
+  ) =>
+    ((...args: Args) => {
+      const answer = call(...args);
+      void answer.then(result => {
+        const label = result.isOk() ? 'ok' : result.error.type;
+        metrics.platformCalls.inc({method, result: label});
+      });
+      return answer;
+    }) as (...args: Args) => Value;
+  return {
+    get: counted('get', platform.get),
+    list: counted('list', platform.list),
+    put: counted('put', platform.put),
+    remove: counted('remove', platform.remove),
+    watch: counted('watch', platform.watch),
+    instances: counted('instances', platform.instances),
+  };
+}
--- /dev/null
+++ b/packages/figfall/src/node/create_node_context.ts
@@ -0,0 +1,49 @@
+import {randomUUID} from 'node:crypto';
+import {createPlatform} from '@figfall/platform';
+import {createLogger} from '../observability/create_logger.js';
+import {createMetrics} from '../observability/create_metrics.js';
+import {createTracing} from '../observability/create_tracing.js';
+import {countPlatformCalls} from './count_platform_calls.js';
+import {loadHash} from './load_hash.js';
+import type {NodeContext} from './node_context.js';
+import type {NodeSettings} from './node_settings.js';
+
+const PLATFORM_TIMEOUT_MS = 1_000;
+const PLATFORM_WATCH_MS = 20_000;
+
+/** Creates what every part of a node shares. */
+export async function createNodeContext(
+  settings: NodeSettings,
+  role: 'entry' | 'agent',
+): Promise<NodeContext> {
+  const identity = {id: settings.id, incarnation: randomUUID(), role};
+  const metrics = createMetrics(settings.id, role);
+  const platform = createPlatform({
+    baseUrl: settings.platformUrl,
+    timeoutMs: PLATFORM_TIMEOUT_MS,
+    watchMs: PLATFORM_WATCH_MS,
+  });
+  return {
+    settings,
+    identity,
+    metrics,
+    hash: await loadHash(),
+    random: Math.random,
+    platform: countPlatformCalls(platform, metrics),
+    logger: createLogger({
+      nodeId: settings.id,
+      scope: role,
+      level: settings.logLevel,
+    }),
+    tracing: await createTracing({
+      nodeId: settings.id,
+      exporter: settings.traceExporter,
+      otlpUrl: settings.otlpUrl,
+    }),
+    linkOptions: {
+      node: identity,
+      key: settings.linkKey,
+      tls: settings.linkTls,
+    },
+  };
+}
--- /dev/null
+++ b/packages/figfall/src/node/node_context.ts
@@ -0,0 +1,20 @@
+import type {HashFunction, RandomSource} from '@figfall/decisions';
+import type {LinkOptions, NodeIdentity} from '@figfall/node-link';
+import type {Platform} from '@figfall/platform';
+import type {Logger} from '../observability/logger.js';
+import type {Metrics} from '../observability/metrics.js';
+import type {Tracing} from '../observability/tracing.js';
+import type {NodeSettings} from './node_settings.js';
+
+/** What every part of a node shares. */
+export interface NodeContext {
+  readonly settings: NodeSettings;
+  readonly identity: NodeIdentity;
+  readonly hash: HashFunction;
+  readonly random: RandomSource;
+  readonly platform: Platform;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly tracing: Tracing;
+  readonly linkOptions: LinkOptions;
+}
--- /dev/null
+++ b/packages/figfall/src/node/watch_platform.ts
@@ -0,0 +1,69 @@
+import {isWatcher} from '@figfall/decisions';
+import type {ConfigEntry, Instance} from '@figfall/decisions';
+import {recordKeys} from '@figfall/operator';
+import {Effect} from 'effect';
+import type {Scope} from 'effect';
+import type {NodeContext} from './node_context.js';
+import {toConfigEntry} from './to_config_entry.js';
+
+/** Milliseconds between checks of whether this node watches. */
+const RANK_CHECK_MS = 500;
+
+/** Milliseconds between attempts while the platform does not answer. */
+const RETRY_MS = 500;
+
+interface WatchOptions {
+  readonly context: NodeContext;
+  readonly instances: () => readonly Instance[];
+  readonly onEntries: (entries: readonly ConfigEntry[]) => void;
+}
+
+/**
+ * Reads all records at the start, and watches them while this node is one of
+ * the watchers of its availability zone.
+ */
+export function watchPlatform(
+  options: WatchOptions,
+): Effect.Effect<void, never, Scope.Scope> {
+  const {platform, identity, settings, hash, random} = options.context;
+  const self = {id: identity.id, zone: settings.zone};
+  const stop = new AbortController();
+  let revision = 0;
+  let hasListed = false;
+
+  const list = async (): Promise<number> => {
+    const listed = await platform.list(recordKeys.prefix);
+    if (listed.isErr()) return RETRY_MS * (0.5 + random());
+    hasListed = true;
+    revision = listed.value.revision;
+    options.onEntries(listed.value.objects.map(toConfigEntry));
+    return 0;
+  };
+
+  const watch = async (): Promise<number> => {
+    const changed = await platform.watch(
+      recordKeys.prefix,
+      revision,
+      stop.signal,
+    );
+    if (changed.isErr()) return RETRY_MS * (0.5 + random());
+    revision = Math.max(revision, changed.value.revision);
+    options.onEntries(changed.value.objects.map(toConfigEntry));
+    return 0;
+  };
+
+  /** Does what is due and returns the milliseconds to pause. */
+  const step = async (): Promise<number> => {
+    if (!hasListed) return list();
+    if (!isWatcher(self, options.instances(), hash)) return RANK_CHECK_MS;
+    return watch();
+  };
+
+  return Effect.gen(function* () {
+    yield* Effect.addFinalizer(() => Effect.sync(() => stop.abort()));
+    const turn = Effect.flatMap(Effect.promise(step), pauseMs =>
+      Effect.sleep(pauseMs),
+    );
+    yield* Effect.forkScoped(Effect.forever(turn));
+  });
+}
--- /dev/null
+++ b/packages/figfall/src/observability/create_metrics.ts
@@ -0,0 +1,66 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Upper bounds in seconds of latency histograms. */
+const SECONDS_BUCKETS = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.39, 0.75, 1.5, 3, 6, 15, 60, 300,
+];
+
+/** Creates the metrics of one node. */
+export function createMetrics(nodeId: string, role: 'entry' | 'agent') {
+  const registry = new Registry();
+  registry.setDefaultLabels({node: nodeId, role});
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: 'figfall_requests_total',
+      help: 'Requests answered, by answer.',
+      labelNames: ['answer'],
+      registers,
+    }),
+    refusals: new Counter({
+      name: 'figfall_refusals_total',
+      help: 'Calls refused at the door, by error kind.',
+      labelNames: ['kind'],
+      registers,
+    }),
+    retries: new Counter({
+      name: 'figfall_retries_total',
+      help: 'Attempts after the first.',
+      registers,
+    }),
+    firstTokenSeconds: new Histogram({
+      name: 'figfall_first_token_seconds',
+      help: 'Time from a request to its first token.',
+      labelNames: ['length'],
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    running: new Gauge({
+      name: 'figfall_running_calls',
+      help: 'Calls that run now.',
+      registers,
+    }),
+    queued: new Gauge({
+      name: 'figfall_queued_calls',
+      help: 'Calls that wait at the door.',
+      registers,
+    }),
+    links: new Gauge({
+      name: 'figfall_links',
+      help: 'Links that are up.',
+      registers,
+    }),
+    configRevision: new Gauge({
+      name: 'figfall_config_revision',
+      help: 'Highest configuration version in force.',
+      registers,
+    }),
+    platformCalls: new Counter({
+      name: 'figfall_platform_calls_total',
+      help: 'Calls of the platform, by method and result.',
+      labelNames: ['method', 'result'],
+      registers,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/figfall/src/observability/metrics.ts
@@ -0,0 +1,4 @@
+import type {createMetrics} from './create_metrics.js';
+
+/** Metrics of one node. */
+export type Metrics = ReturnType<typeof createMetrics>;
--- a/packages/model-engine/src/create_model_engine.ts
+++ b/packages/model-engine/src/create_model_engine.ts
@@ -72,6 +72,7 @@
 
 function generateBody(req: GenerateRequest): Buffer {
   return spliceBody(req.body, {
+    model: req.model,
     stream: true,
     request_id: req.requestId,
     priority: req.priority,
--- a/packages/model-engine/src/generate_request.ts
+++ b/packages/model-engine/src/generate_request.ts
@@ -2,6 +2,8 @@
 export interface GenerateRequest {
   readonly requestId: string;
   readonly kind: 'completion' | 'chat';
+  /** Model as the engine names it. */
+  readonly model: string;
   /** The caller's JSON body, forwarded without decoding it. */
   readonly body: Uint8Array;
   /** Lower goes first. */
--- a/packages/node-link/src/messages/peer_message.ts
+++ b/packages/node-link/src/messages/peer_message.ts
@@ -75,6 +75,14 @@
       readonly fingerprint: string;
       readonly crashes: number;
     }
+  | {
+      /** Configuration revisions of nodes that the sender is linked to. */
+      readonly type: 'revisions';
+      readonly nodes: readonly {
+        readonly id: string;
+        readonly revision: number;
+      }[];
+    }
   | {readonly type: 'digest'; readonly digest: ConfigDigest}
   | {readonly type: 'records'; readonly entries: readonly ConfigEntry[]}
   | {readonly type: 'ask'; readonly above: number};
--- /dev/null
+++ b/packages/operator/src/model_assignment.ts
@@ -0,0 +1,34 @@
+import {assignModels} from '@figfall/decisions';
+import type {HashFunction, Instance} from '@figfall/decisions';
+import type {ConfigView} from './config_view.js';
+import {placementTarget} from './placement_target.js';
+
+/**
+ * Computes which backend server should hold which models. Backend servers
+ * that the list of instances no longer shows hold none; the lag of the list
+ * keeps short absences from moving models.
+ */
+export function modelAssignment(
+  view: ConfigView,
+  instances: readonly Instance[],
+  hash: HashFunction,
+): ReadonlyMap<string, readonly string[]> {
+  const demands = view.all('placement').map(placement => ({
+    model: placementTarget(placement),
+    replicas: placement.replicas,
+  }));
+  const agents = instances.filter(({role}) => role === 'agent');
+  const zoneOf = new Map(
+    agents.map(({backendServer, zone}) => [backendServer, zone]),
+  );
+  const isPresent = (name: string) => agents.length === 0 || zoneOf.has(name);
+  const engines = view
+    .all('backend-server')
+    .filter(({kind, name}) => kind === 'model-engine' && isPresent(name))
+    .map(({name, modelSlots}) => ({
+      id: name,
+      zone: zoneOf.get(name) ?? '',
+      slots: modelSlots,
+    }));
+  return assignModels(demands, engines, hash);
+}
--- /dev/null
+++ b/playground/src/deployment/deployment_records.ts
@@ -0,0 +1,89 @@
+import {createHash} from 'node:crypto';
+import {demoToken} from './demo_token.js';
+import type {ResolvedDeployment} from './resolved_deployment.js';
+
+/** A record as operators write it. */
+type RawRecord = Readonly<Record<string, unknown>>;
+
+function sha256(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+function zoneRecords({zones}: ResolvedDeployment): RawRecord[] {
+  return zones.map(name => ({
+    kind: 'availability-zone',
+    schemaVersion: 1,
+    name,
+    state: 'in',
+  }));
+}
+
+function workspaceRecords({workspaces}: ResolvedDeployment): RawRecord[] {
+  return workspaces.map(name => ({
+    kind: 'workspace',
+    schemaVersion: 2,
+    name,
+    tokenHashes: [sha256(demoToken(name))],
+    weight: 1,
+  }));
+}
+
+function engineRecords(options: ResolvedDeployment): RawRecord[] {
+  const {engines, running, coldRunning, engine} = options;
+  return Array.from({length: engines}, (_, i) => ({
+    kind: 'backend-server',
+    schemaVersion: 2,
+    name: `engine-${i + 1}`,
+    server: 'model-engine',
+    state: 'in',
+    checksFencing: engine.checksFencing ?? true,
+    limits: {
+      running,
+      coldRunning,
+      prefillTokensPerSecond: engine.prefillRate ?? 50_000,
+      modelSlots: 1,
+    },
+  }));
+}
+
+/** Written in the older schema version, which stays valid. */
+function serviceServerRecords({services}: ResolvedDeployment): RawRecord[] {
+  return Array.from({length: services}, (_, i) => ({
+    kind: 'backend-server',
+    schemaVersion: 1,
+    name: `booking-${i + 1}`,
+    server: 'plain-service',
+    service: 'booking',
+    state: 'in',
+    capacity: 64,
+    coldCapacity: 64,
+  }));
+}
+
+/** Returns the records of a deployment in the playground. */
+export function deploymentRecords(options: ResolvedDeployment): RawRecord[] {
+  const all = ['*'];
+  return [
+    ...zoneRecords(options),
+    ...workspaceRecords(options),
+    {
+      kind: 'model',
+      schemaVersion: 1,
+      name: 'log-summary',
+      version: '1',
+      weights: 'weights/log-summary/1',
+    },
+    {
+      kind: 'placement',
+      schemaVersion: 1,
+      name: 'log-summary',
+      model: 'log-summary',
+      version: '1',
+      replicas: options.engines,
+      workspaces: all,
+    },
+    {kind: 'service', schemaVersion: 1, name: 'booking', workspaces: all},
+    ...engineRecords(options),
+    ...serviceServerRecords(options),
+  ];
+}
--- /dev/null
+++ b/playground/src/deployment/resolve_deployment.ts
@@ -0,0 +1,27 @@
+import type {DeploymentOptions} from './deployment_options.js';
+import type {ResolvedDeployment} from './resolved_deployment.js';
+
+/** Fills in the defaults of a deployment. */
+export function resolveDeployment(
+  options: DeploymentOptions,
+): ResolvedDeployment {
+  return {
+    region: 'mitte',
+    zones: ['nord', 'werk', 'sued'],
+    engines: 3,
+    services: 3,
+    entries: 2,
+    workspaces: ['lindenau'],
+    engine: {},
+    platform: {},
+    running: 16,
+    coldRunning: 2,
+    serviceDelayMs: 0,
+    policy: 'figfall',
+    linksPerTarget: 16,
+    logLevel: 'silent',
+    traceExporter: 'none',
+    httpPort: 0,
+    ...options,
+  };
+}
--- /dev/null
+++ b/playground/src/http/start_http.ts
@@ -0,0 +1,40 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** A stand-in's HTTP server. */
+interface HttpStandIn {
+  readonly port: number;
+  readonly baseUrl: string;
+  readonly server: Server;
+  /** Ends the server and cuts its connections. */
+  readonly close: () => Promise<void>;
+}
+
+/** Starts an HTTP server on a loopback port. */
+export async function startHttp(
+  handle: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
+  port = 0,
+): Promise<HttpStandIn> {
+  const server = createServer((req, res) => {
+    handle(req, res).catch((error: Error) => {
+      if (!res.headersSent) res.writeHead(500);
+      res.end(JSON.stringify({error: {message: error.message}}));
+    });
+  });
+  server.keepAliveTimeout = 60_000;
+  await new Promise<void>(resolve => {
+    server.listen(port, '127.0.0.1', resolve);
+  });
+  const address = server.address() as AddressInfo;
+  return {
+    port: address.port,
+    baseUrl: `http://127.0.0.1:${address.port}`,
+    server,
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
--- /dev/null
+++ b/playground/src/platform/object_table.ts
@@ -0,0 +1,50 @@
+import type {PlatformList, PlatformObject} from '@figfall/platform';
+
+type Listener = () => void;
+
+/** The objects of the stand-in platform, in memory. */
+export function objectTable() {
+  const objects = new Map<string, PlatformObject>();
+  const listeners = new Set<Listener>();
+  let revision = 0;
+
+  const matching = (prefix: string, since: number): PlatformList => ({
+    revision,
+    objects: [...objects.values()].filter(
+      ({key, version}) => key.startsWith(prefix) && version > since,
+    ),
+  });
+
+  return {
+    get: (key: string) => objects.get(key),
+    matching,
+    versionOf: (key: string) => objects.get(key)?.version ?? 0,
+
+    put: (key: string, value: string): number => {
+      revision += 1;
+      objects.set(key, {key, version: revision, value});
+      [...listeners].forEach(listener => listener());
+      return revision;
+    },
+
+    remove: (key: string): void => {
+      objects.delete(key);
+    },
+
+    /** Resolves at the next change under a prefix, or after a time. */
+    changed: (prefix: string, since: number, waitMs: number) =>
+      new Promise<void>(resolve => {
+        const finish = () => {
+          clearTimeout(timer);
+          listeners.delete(check);
+          resolve();
+        };
+        const check = () => {
+          if (matching(prefix, since).objects.length > 0) finish();
+        };
+        const timer = setTimeout(finish, waitMs);
+        listeners.add(check);
+        check();
+      }),
+  };
+}
--- /dev/null
+++ b/playground/src/platform/platform_faults.ts
@@ -0,0 +1,13 @@
+/** Faults of the stand-in platform that a test can switch. */
+export interface PlatformFaults {
+  /** Refuses every call. */
+  down: boolean;
+  /** Milliseconds added to each answer. */
+  delayMs: number;
+  /** Number of next writes that take effect but are never answered. */
+  loseAnswers: number;
+  /** Calls a second beyond which calls are refused; 0 for no limit. */
+  callsPerSecond: number;
+  /** Milliseconds by which the list of instances lags. */
+  instanceLagMs: number;
+}
--- /dev/null
+++ b/playground/src/platform/start_platform.ts
@@ -0,0 +1,139 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Instance} from '@figfall/decisions';
+import {readRequest} from '../http/read_request.js';
+import {sendJson} from '../http/send_json.js';
+import {sleep} from '../http/sleep.js';
+import {startHttp} from '../http/start_http.js';
+import {instanceTable} from './instance_table.js';
+import {objectTable} from './object_table.js';
+import type {PlatformFaults} from './platform_faults.js';
+
+const VALUE_BYTES_MAX = 1_048_576;
+
+/** Calls that the stand-in has counted, a waiting watch as one. */
+interface CallCounts {
+  reads: number;
+  writes: number;
+  watches: number;
+  conflicts: number;
+}
+
+/** Starts a stand-in of the platform's object API and instance list. */
+export async function startPlatform(
+  options: Partial<PlatformFaults> & {readonly port?: number} = {},
+) {
+  const {port, ...overrides} = options;
+  const faults: PlatformFaults = {
+    down: false,
+    delayMs: 0,
+    loseAnswers: 0,
+    callsPerSecond: 0,
+    instanceLagMs: 0,
+    ...overrides,
+  };
+  const counts: CallCounts = {reads: 0, writes: 0, watches: 0, conflicts: 0};
+  const objects = objectTable();
+  const instances = instanceTable();
+  let windowStart = 0;
+  let windowCalls = 0;
+
+  const isOverRate = (): boolean => {
+    const now = Date.now();
+    if (now - windowStart >= 1_000) {
+      windowStart = now;
+      windowCalls = 0;
+    }
+    windowCalls += 1;
+    return faults.callsPerSecond > 0 && windowCalls > faults.callsPerSecond;
+  };
+
+  const expectedVersion = (req: IncomingMessage): number =>
+    Number((req.headers['if-match'] ?? '0').replaceAll('"', ''));
+
+  const conflictOf = (req: IncomingMessage, key: string) => {
+    const version = objects.versionOf(key);
+    if (version === expectedVersion(req)) return undefined;
+    counts.conflicts += 1;
+    return {version};
+  };
+
+  const write = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    key: string,
+  ) => {
+    counts.writes += 1;
+    const body = await readRequest(req);
+    if (body.length > VALUE_BYTES_MAX) return sendJson(res, 413, {});
+    const conflict = conflictOf(req, key);
+    if (conflict) return sendJson(res, 412, conflict);
+    const version = objects.put(key, body.toString());
+    if (faults.loseAnswers > 0) {
+      faults.loseAnswers -= 1;
+      return void req.socket.destroy();
+    }
+    sendJson(res, 200, {version});
+  };
+
+  const remove = (req: IncomingMessage, res: ServerResponse, key: string) => {
+    counts.writes += 1;
+    const conflict = conflictOf(req, key);
+    if (conflict) return sendJson(res, 412, conflict);
+    objects.remove(key);
+    sendJson(res, 200, {});
+  };
+
+  const read = (res: ServerResponse, key: string) => {
+    counts.reads += 1;
+    const found = objects.get(key);
+    return found ? sendJson(res, 200, found) : sendJson(res, 404, {});
+  };
+
+  const watch = async (res: ServerResponse, url: URL) => {
+    counts.watches += 1;
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const since = Number(url.searchParams.get('since'));
+    const waitMs = Number(url.searchParams.get('wait_ms'));
+    await objects.changed(prefix, since, waitMs);
+    if (faults.down) return sendJson(res, 503, {});
+    sendJson(res, 200, objects.matching(prefix, since));
+  };
+
+  const control = async (req: IncomingMessage, res: ServerResponse) => {
+    const body = JSON.parse((await readRequest(req)).toString()) as {
+      readonly faults?: Partial<PlatformFaults>;
+      readonly instance?: Instance;
+      readonly removeInstance?: string;
+    };
+    Object.assign(faults, body.faults);
+    if (body.instance) instances.set(body.instance);
+    if (body.removeInstance) instances.remove(body.removeInstance);
+    sendJson(res, 200, {counts});
+  };
+
+  const handle = async (req: IncomingMessage, res: ServerResponse) => {
+    const url = new URL(req.url ?? '/', 'http://platform');
+    if (url.pathname === '/control') return control(req, res);
+    if (faults.delayMs > 0) await sleep(faults.delayMs);
+    if (faults.down) return sendJson(res, 503, {});
+    if (isOverRate()) return sendJson(res, 429, {});
+    if (url.pathname === '/v1/watch') return watch(res, url);
+    if (url.pathname === '/v1/instances') {
+      counts.reads += 1;
+      const listed = instances.lagging(faults.instanceLagMs);
+      return sendJson(res, 200, {instances: listed});
+    }
+    if (url.pathname === '/v1/objects') {
+      counts.reads += 1;
+      const prefix = url.searchParams.get('prefix') ?? '';
+      return sendJson(res, 200, objects.matching(prefix, 0));
+    }
+    const key = decodeURIComponent(url.pathname.replace('/v1/objects/', ''));
+    if (req.method === 'PUT') return write(req, res, key);
+    if (req.method === 'DELETE') return remove(req, res, key);
+    return read(res, key);
+  };
+
+  const {server: _server, ...http} = await startHttp(handle, port);
+  return {...http, faults, counts, instances, objects};
+}
--- /dev/null
+++ b/playground/src/service/start_service.ts
@@ -0,0 +1,55 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {readRequest} from '../http/read_request.js';
+import {sendJson} from '../http/send_json.js';
+import {sleep} from '../http/sleep.js';
+import {startHttp} from '../http/start_http.js';
+
+/** Faults of the stand-in plain service. */
+interface ServiceFaults {
+  /** Milliseconds that each call takes. */
+  delayMs: number;
+  /** Number of next calls that run but are never answered. */
+  loseAnswers: number;
+}
+
+/** Starts a stand-in plain service that counts executions per key. */
+export async function startService(
+  overrides: Partial<ServiceFaults> & {readonly port?: number} = {},
+) {
+  const {port, ...rest} = overrides;
+  const faults: ServiceFaults = {delayMs: 0, loseAnswers: 0, ...rest};
+  const executions = new Map<string, number>();
+
+  const run = async (req: IncomingMessage, res: ServerResponse) => {
+    const body = (await readRequest(req)).toString();
+    const key = String(req.headers['idempotency-key'] ?? body);
+    const count = (executions.get(key) ?? 0) + 1;
+    executions.set(key, count);
+    if (faults.delayMs > 0) await sleep(faults.delayMs);
+    if (faults.loseAnswers > 0) {
+      faults.loseAnswers -= 1;
+      return void req.socket.destroy();
+    }
+    sendJson(res, 201, {path: req.url, booked: key, executions: count});
+  };
+
+  const routes: Readonly<
+    Record<string, (req: IncomingMessage, res: ServerResponse) => Promise<void>>
+  > = {
+    '/healthz': async (_req, res) => sendJson(res, 200, {}),
+    '/counts': async (_req, res) =>
+      sendJson(res, 200, Object.fromEntries(executions)),
+    '/control': async (req, res) => {
+      Object.assign(faults, JSON.parse((await readRequest(req)).toString()));
+      sendJson(res, 200, {});
+    },
+  };
+
+  const handle = async (req: IncomingMessage, res: ServerResponse) => {
+    const route = routes[req.url ?? ''] ?? run;
+    await route(req, res);
+  };
+
+  const {server: _server, ...http} = await startHttp(handle, port);
+  return {...http, faults, executions};
+}
