feat(cli): command line, demo, separate processes and one binary

Cause: a newcomer needs one command that shows the whole path. Change: commands with settings from one table, the demo, a launcher of separate processes, a single binary, and a status writer for zones that have no entry of their own (the first demo run showed zone sued without a status).

--- /dev/null
+++ b/packages/cli/src/commands/get_command.ts
@@ -0,0 +1,53 @@
+import {isTombstone, recordKeys} from '@figfall/operator';
+import type {Command} from './command.js';
+import {complainOfSettings} from './complain_of_settings.js';
+import {EXIT_CODE} from './exit_code.js';
+import {openStore} from './open_store.js';
+import {parseRecordName} from './parse_record_name.js';
+import {reportFailure} from './report_failure.js';
+
+/** Prints one record with its version, or the names of all. */
+export const getCommand: Command = {
+  summary: 'print a record with its version, or list all records',
+  usage: '[KIND NAME]',
+  settings: ['platformUrl'],
+  flags: {},
+  run: async invocation => {
+    const {args, output} = invocation;
+    const opened = openStore(invocation);
+    if (opened.isErr()) return complainOfSettings(opened.error, output);
+    const {store, platform} = opened.value;
+    if (args.length === 0) {
+      const listed = await platform.list(recordKeys.prefix);
+      if (listed.isErr()) {
+        output.complain(listed.error.message);
+        return EXIT_CODE.FAILED;
+      }
+      listed.value.objects
+        .filter(({value}) => !isTombstone(value))
+        .map(({key, version}) => {
+          const name = key.slice(recordKeys.prefix.length);
+          return `${name} version ${version}`;
+        })
+        .sort()
+        .forEach(output.print);
+      return EXIT_CODE.DONE;
+    }
+    const named = parseRecordName(args);
+    if (named.isErr()) {
+      output.complain(named.error);
+      return EXIT_CODE.USAGE;
+    }
+    const {kind, name} = named.value;
+    const found = await store.read(kind, name);
+    if (found.isErr()) return reportFailure(name, found.error, output);
+    const {version, value} = found.value;
+    if (value === undefined) {
+      output.complain(`There is no ${kind} ${name}.`);
+      return EXIT_CODE.FAILED;
+    }
+    const record = JSON.parse(value) as unknown;
+    output.print(JSON.stringify({version, record}, undefined, 2));
+    return EXIT_CODE.DONE;
+  },
+};
--- /dev/null
+++ b/packages/cli/src/commands/parse_record_name.ts
@@ -0,0 +1,21 @@
+import {RECORD_KINDS} from '@figfall/operator';
+import type {RecordKind} from '@figfall/operator';
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+
+interface RecordName {
+  readonly kind: RecordKind;
+  readonly name: string;
+}
+
+/** Parses KIND NAME or KIND/NAME from the arguments. */
+export function parseRecordName(
+  args: readonly string[],
+): Result<RecordName, string> {
+  const [kind, name] = args.length === 1 ? args[0].split('/') : args;
+  if (!RECORD_KINDS.includes(kind as RecordKind)) {
+    return err(`"${kind}" is no kind; kinds: ${RECORD_KINDS.join(', ')}`);
+  }
+  if (!name) return err(`the name of the ${kind} is missing`);
+  return ok({kind: kind as RecordKind, name});
+}
--- /dev/null
+++ b/packages/cli/src/constants.ts
@@ -0,0 +1,2 @@
+/** Version of the program. */
+export const VERSION = '0.1.0';
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export * from './main.js';
--- /dev/null
+++ b/packages/cli/src/settings/node_setting_names.ts
@@ -0,0 +1,15 @@
+/** Settings that entries and agents share. */
+export const NODE_SETTING_NAMES = [
+  'id',
+  'region',
+  'zone',
+  'platformUrl',
+  'linkKey',
+  'linkTlsKey',
+  'linkTlsCert',
+  'linkTlsCa',
+  'logLevel',
+  'traceExporter',
+  'otlpUrl',
+  'shutdownMs',
+] as const;
--- /dev/null
+++ b/packages/cli/src/settings/resolve_node.ts
@@ -0,0 +1,46 @@
+import type {NodeSettings} from 'figfall';
+import {err, ok} from 'neverthrow';
+import type {Result} from 'neverthrow';
+import type {Invocation} from '../commands/invocation.js';
+import {NODE_SETTING_NAMES} from './node_setting_names.js';
+import {resolveSettings} from './resolve_settings.js';
+import type {SettingName} from './setting_name.js';
+
+/** Environment variable under which Node.js uses io_uring. */
+const IO_URING = 'UV_USE_IO_URING';
+
+const TLS_MISSING =
+  'links over TLS need all three of --link-tls-key, --link-tls-cert and --link-tls-ca';
+
+const OTLP_MISSING = 'trace exporter otlp needs --otlp-url';
+
+const IO_URING_SET = `${IO_URING} is set to 1, but figfall must not use io_uring: unset it`;
+
+/** Resolves the settings of a node, with checks across settings. */
+export function resolveNode<Name extends SettingName>(
+  own: readonly Name[],
+  {flags, env}: Invocation,
+) {
+  const names = [...NODE_SETTING_NAMES, ...own];
+  const resolved = resolveSettings(names, {flags, env});
+  const settings = resolved.isOk() ? resolved.value : undefined;
+  const {
+    linkTlsKey: key,
+    linkTlsCert: cert,
+    linkTlsCa: ca,
+  } = settings ?? ({} as Record<string, undefined>);
+  const tlsCount = [key, cert, ca].filter(Boolean).length;
+  const needsOtlp = settings?.traceExporter === 'otlp' && !settings.otlpUrl;
+  const errors = [
+    ...(resolved.isErr() ? resolved.error : []),
+    ...(env[IO_URING] === '1' ? [IO_URING_SET] : []),
+    ...(tlsCount % 3 === 0 ? [] : [TLS_MISSING]),
+    ...(needsOtlp ? [OTLP_MISSING] : []),
+  ];
+  type Settings = NonNullable<typeof settings> & Pick<NodeSettings, 'linkTls'>;
+  if (!settings || errors.length > 0) {
+    return err(errors) as Result<Settings, readonly string[]>;
+  }
+  const linkTls = key && cert && ca ? {key, cert, ca} : undefined;
+  return ok({...settings, linkTls}) as Result<Settings, readonly string[]>;
+}
--- a/packages/figfall/src/entry/link_planner.ts
+++ b/packages/figfall/src/entry/link_planner.ts
@@ -61,12 +61,14 @@
     ];
     const options = {entryId, zone, region, linksPerTarget};
     const chosen = linkPlan(instances, targets, options, hash);
-    const writesStatus = statusWriterOf(zone, instances, hash) === entryId;
+    const zones = [...new Set(instances.map(instance => instance.zone))];
+    const watched = zones.filter(
+      name => statusWriterOf(name, instances, hash) === entryId,
+    );
     return instances.filter(
       instance =>
         instance.role === 'agent' &&
-        (chosen.includes(instance.id) ||
-          (writesStatus && instance.zone === zone)),
+        (chosen.includes(instance.id) || watched.includes(instance.zone)),
     );
   }
 }
--- a/packages/figfall/src/entry/status_writer.ts
+++ b/packages/figfall/src/entry/status_writer.ts
@@ -17,17 +17,32 @@
   readonly at: number;
 }
 
+/** What was last written for a zone. */
+interface WrittenStatus {
+  readonly text: string;
+  readonly at: number;
+  /** Version of the object; 0 where none is known. */
+  readonly version: number;
+  readonly isWriting: boolean;
+  readonly inForce?: {readonly revision: number; readonly since: string};
+}
+
+const NEVER_WRITTEN: WrittenStatus = {
+  text: '',
+  at: 0,
+  version: 0,
+  isWriting: false,
+};
+
 /** Milliseconds after which the revision of a node counts as unknown. */
 const HEARD_MS = 10_000;
 
-/** Writes the status of an availability zone while this entry is its writer. */
+/** Writes the status of the availability zones that this entry is writer of. */
 export class StatusWriter {
   private readonly heard = new Map<string, HeardRevision>();
-  private writtenText = '';
-  private writtenAt = 0;
-  private version = 0;
-  private isWriting = false;
-  private inForce?: {readonly revision: number; readonly since: string};
+  private readonly written = new Map<string, WrittenStatus>();
+
+  private checkedAt = 0;
 
   constructor(
     private readonly context: NodeContext,
@@ -42,34 +57,44 @@
     nodes.forEach(({id, revision}) => this.heard.set(id, {revision, at}));
   }
 
-  /** Writes the status if it has changed, at a bounded rate. */
+  /** Writes the status of each zone that is this entry's, if it changed. */
   tick(input: StatusInput): void {
-    const {zone} = this.context.settings;
     const {identity, hash} = this.context;
-    const writer = statusWriterOf(zone, input.instances, hash);
-    const age = input.now - this.writtenAt;
-    if (writer !== identity.id || this.isWriting) return;
-    if (age < ENTRY.STATUS_MS) return;
-    const nodes = this.nodes(input);
+    if (input.now - this.checkedAt < ENTRY.STATUS_MS) return;
+    this.checkedAt = input.now;
+    [...new Set(input.instances.map(({zone}) => zone))]
+      .filter(
+        zone => statusWriterOf(zone, input.instances, hash) === identity.id,
+      )
+      .forEach(zone => this.review(zone, input));
+  }
+
+  private review(zone: string, input: StatusInput): void {
+    const known = this.written.get(zone) ?? NEVER_WRITTEN;
+    const nodes = this.nodes(zone, input);
     const text = JSON.stringify({nodes, revision: input.revision});
-    const isOld = age >= ENTRY.STATUS_REFRESH_MS;
-    if (text === this.writtenText && !isOld) return;
-    this.writtenText = text;
-    this.writtenAt = input.now;
-    void this.write({
+    const isOld = input.now - known.at >= ENTRY.STATUS_REFRESH_MS;
+    if (known.isWriting || (text === known.text && !isOld)) return;
+    const inForce = this.inForce(nodes, input, known);
+    const next = {...known, text, inForce, at: input.now, isWriting: true};
+    this.written.set(zone, next);
+    void this.write(next, {
       zone,
       at: new Date(input.now).toISOString(),
-      writer: identity.id,
+      writer: this.context.identity.id,
       revision: input.revision,
-      inForceSince: this.since(nodes, input),
+      inForceSince: inForce?.since,
       nodes,
     });
   }
 
-  private nodes({instances, revision, now}: StatusInput): ZoneStatus['nodes'] {
-    const {settings, identity} = this.context;
+  private nodes(
+    zone: string,
+    {instances, revision, now}: StatusInput,
+  ): ZoneStatus['nodes'] {
+    const {identity} = this.context;
     return instances
-      .filter(({zone}) => zone === settings.zone)
+      .filter(instance => instance.zone === zone)
       .map(({id, role, backendServer}) => {
         if (id === identity.id) return {id, role, revision};
         if (role === 'agent') return {...this.agent(id), backendServer};
@@ -94,29 +119,28 @@
     };
   }
 
-  private since(
+  private inForce(
     nodes: ZoneStatus['nodes'],
     {revision, now}: StatusInput,
-  ): string | undefined {
+    known: WrittenStatus,
+  ): WrittenStatus['inForce'] {
     const isEverywhere = nodes.every(node => (node.revision ?? 0) >= revision);
     if (!isEverywhere) return undefined;
-    if (this.inForce?.revision !== revision) {
-      this.inForce = {revision, since: new Date(now).toISOString()};
-    }
-    return this.inForce.since;
+    if (known.inForce?.revision === revision) return known.inForce;
+    return {revision, since: new Date(now).toISOString()};
   }
 
-  private async write(status: ZoneStatus): Promise<void> {
+  private async write(known: WrittenStatus, status: ZoneStatus): Promise<void> {
     const {platform} = this.context;
     const key = recordKeys.status(`zone/${status.zone}`);
     const text = JSON.stringify(status);
-    this.isWriting = true;
-    const put = await platform.put(key, text, this.version);
-    if (put.isOk()) this.version = put.value;
-    else if (put.error.type === 'conflict') {
-      this.version = put.error.version ?? 0;
-      this.writtenText = '';
-    } else this.writtenText = '';
-    this.isWriting = false;
+    const put = await platform.put(key, text, known.version);
+    const next = {...known, isWriting: false};
+    if (put.isOk()) {
+      this.written.set(status.zone, {...next, version: put.value});
+      return;
+    }
+    const version = put.error.version ?? known.version;
+    this.written.set(status.zone, {...next, version, text: ''});
   }
 }
--- /dev/null
+++ b/playground/src/demo/demo_options.ts
@@ -0,0 +1,10 @@
+import type {DeploymentOptions} from '../deployment/deployment_options.js';
+
+/** Deployment that the demo and `figfall dev` start. */
+export const DEMO_OPTIONS = {
+  engines: 6,
+  services: 3,
+  entries: 2,
+  workspaces: ['lindenau', 'thistlebrae'],
+  engine: {totalTokens: 150_000, prefillRate: 200_000, decodeMs: 15},
+} as const satisfies DeploymentOptions;
--- a/playground/src/engine/start_engine.ts
+++ b/playground/src/engine/start_engine.ts
@@ -159,6 +159,7 @@
     '/v1/orders': order,
     '/v1/load': load,
     '/control': control,
+    '/figures': async (_req, res) => sendJson(res, 200, figures),
   };
 
   const handle = async (req: IncomingMessage, res: ServerResponse) => {
