test: decisions under random orders, and faults against a deployment

Cause: nothing proved the promises yet. They found that a batch with an invalid newest and an older valid record lost the valid one, and that a long prefill pulled the measured rate down. Conclusion: both faults are mended in this commit.

--- /dev/null
+++ b/packages/decisions/src/__tests__/door.test.ts
@@ -0,0 +1,227 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {door} from '../door/door.js';
+import type {DoorCommand} from '../door/door_command.js';
+import type {DoorEvent} from '../door/door_event.js';
+import type {DoorOptions} from '../door/door_options.js';
+import {doorFixture} from './door_fixture.js';
+
+/** Runs events through a door and keeps its commands. */
+function createDoor(overrides: Partial<DoorOptions> = {}) {
+  const options = doorFixture.options(overrides);
+  let state = door.create(doorFixture.condition(), options, 0);
+  const commands: DoorCommand[] = [];
+  return {
+    commands,
+    state: () => state,
+    step(event: DoorEvent, now = 0): readonly DoorCommand[] {
+      const next = door.step(state, event, options, now);
+      state = next.state;
+      commands.push(...next.commands);
+      return next.commands;
+    },
+  };
+}
+
+type TestDoor = ReturnType<typeof createDoor>;
+
+function warm(subject: TestDoor): void {
+  const report = {type: 'load-report', incarnation: 'a', saysCold: false};
+  subject.step({...report, type: 'load-report'}, 0);
+  subject.step({...report, type: 'load-report'}, 1_000);
+  Array.from({length: 16}, (_, i) => `warm-${i}`).forEach(callId => {
+    offer(subject, callId, {}, 1_000);
+    subject.step({type: 'first-token', callId}, 1_000);
+    subject.step({type: 'finished', callId, healthy: true}, 1_000);
+  });
+  subject.commands.length = 0;
+}
+
+function offer(
+  subject: TestDoor,
+  callId: string,
+  overrides: Parameters<typeof doorFixture.call>[1] = {},
+  now = 0,
+): readonly DoorCommand[] {
+  const call = doorFixture.call(callId, {arrivedAt: now, ...overrides});
+  return subject.step({type: 'offer', call, weight: 1}, now);
+}
+
+function dispatched(commands: readonly DoorCommand[]): string[] {
+  return commands.flatMap(command =>
+    command.type === 'dispatch' ? [command.callId] : [],
+  );
+}
+
+function refusals(commands: readonly DoorCommand[]): string[] {
+  return commands.flatMap(command =>
+    command.type === 'refuse' ? [command.failure.kind] : [],
+  );
+}
+
+test('a cold backend server gets no more than it bears', () => {
+  const subject = createDoor();
+  ['a', 'b', 'c', 'd', 'e', 'f', 'g'].forEach(id => offer(subject, id));
+  expect(dispatched(subject.commands)).toEqual(['a', 'b']);
+  expect(refusals(subject.commands)).toEqual(['cold-start-limit']);
+});
+
+test('the limit doubles with healthy completions and falls at a restart', () => {
+  const subject = createDoor();
+  warm(subject);
+  expect(subject.state().coldStart.limit).toEqual(8);
+  const restart = {incarnation: 'b', saysCold: false};
+  subject.step({type: 'load-report', ...restart}, 2_000);
+  expect(subject.state().coldStart.limit).toEqual(2);
+});
+
+test('calls over the cold limit are shed, the newest first', () => {
+  const subject = createDoor();
+  warm(subject);
+  ['a', 'b', 'c', 'd'].forEach((id, i) => offer(subject, id, {}, 2_000 + i));
+  const commands = subject.step({type: 'connection-lost'}, 3_000);
+  expect(commands).toEqual([
+    {type: 'shed', callId: 'd'},
+    {type: 'shed', callId: 'c'},
+  ]);
+});
+
+test('slow tokens alone make a warm backend server count as cold', () => {
+  const subject = createDoor();
+  warm(subject);
+  const slow = {type: 'token-interval', intervalMs: 90} as const;
+  subject.step({type: 'token-interval', intervalMs: 20}, 2_000);
+  subject.step(slow, 2_100);
+  subject.step(slow, 2_200);
+  expect(subject.state().coldStart.phase).toEqual('warm');
+  subject.step(slow, 2_300);
+  expect(subject.state().coldStart.phase).toEqual('cold');
+});
+
+test('a zone taken out sends queued calls back and dispatches none', () => {
+  const subject = createDoor();
+  ['a', 'b', 'c'].forEach(id => offer(subject, id));
+  const condition = doorFixture.condition({zoneIn: false});
+  const commands = subject.step({type: 'condition', condition}, 10);
+  expect(refusals(commands)).toEqual(['zone-out']);
+  subject.step({type: 'finished', callId: 'a', healthy: true}, 20);
+  offer(subject, 'd', {}, 30);
+  expect(dispatched(subject.commands)).toEqual(['a', 'b']);
+});
+
+test('every reason to refuse before dispatch says that nothing ran', () => {
+  const reasons: readonly [
+    Parameters<typeof doorFixture.condition>[0],
+    string,
+  ][] = [
+    [{declared: false}, 'not-declared'],
+    [{leaving: true}, 'leaving'],
+    [{zoneIn: false}, 'zone-out'],
+    [{serverIn: false}, 'server-out'],
+    [{serves: []}, 'model-not-loaded'],
+    [{zoneShare: 0}, 'zone-limit'],
+  ];
+  reasons.forEach(([overrides, kind]) => {
+    const subject = createDoor();
+    const condition = doorFixture.condition(overrides);
+    subject.step({type: 'condition', condition});
+    const [refusal] = offer(subject, 'a');
+    expect(refusal.type === 'refuse' && refusal.failure.kind === kind).toEqual(
+      true,
+    );
+    expect(refusal.type === 'refuse' && refusal.failure.ran).toEqual('no');
+  });
+});
+
+test('a deadline that can not be met is refused at once', () => {
+  const subject = createDoor();
+  const late = {promptTokens: 50_000, totalTokens: 50_010, deadlineAt: 1_000};
+  expect(refusals(offer(subject, 'a', late))).toEqual(['deadline-infeasible']);
+});
+
+test('short calls pass long ones, and an overdue long keeps its share', () => {
+  const subject = createDoor({shortPrefillMs: 100});
+  warm(subject);
+  const long = {callClass: 'long', promptTokens: 40_000} as const;
+  offer(subject, 'long', {...long, totalTokens: 40_010}, 2_000);
+  offer(subject, 'long-2', {...long, totalTokens: 40_010}, 2_000);
+  offer(subject, 's1', {}, 2_000);
+  expect(dispatched(subject.commands)).toEqual(['long', 's1']);
+  subject.step({type: 'first-token', callId: 's1'}, 2_010);
+  const rate = 10_000;
+  let passed = 0;
+  for (let now = 20_000; now < 30_000; now += 10) {
+    const callId = `p${now}`;
+    const sent = dispatched(offer(subject, callId, {}, now));
+    passed += sent.length * 100;
+    sent.forEach(id => {
+      subject.step({type: 'first-token', callId: id}, now);
+      subject.step({type: 'finished', callId: id, healthy: true}, now);
+    });
+  }
+  expect(passed <= 10 * rate * 0.7 * 2).toEqual(true);
+  expect(passed > 0).toEqual(true);
+});
+
+test('a call that has waited past the ageing bound goes first', () => {
+  const subject = createDoor({warmRunning: 2, coldRunning: 2});
+  offer(subject, 'a');
+  offer(subject, 'b');
+  subject.step({type: 'first-token', callId: 'b'}, 10);
+  offer(subject, 'old', {workspace: 'busy', promptTokens: 5_000});
+  offer(subject, 'new', {workspace: 'quiet', promptTokens: 1}, 5_900);
+  const commands = subject.step(
+    {type: 'finished', callId: 'a', healthy: true},
+    6_000,
+  );
+  expect(dispatched(commands)).toEqual(['old']);
+});
+
+test('a reservation waits for running calls and keeps new ones out', () => {
+  const subject = createDoor();
+  offer(subject, 'a', {totalTokens: 60_000});
+  const reserve = {reservationId: 'r', tokens: 80_000, expiresAt: 1_000};
+  subject.step({type: 'reserve', ...reserve});
+  offer(subject, 'b', {totalTokens: 30_000});
+  expect(dispatched(subject.commands)).toEqual(['a']);
+  const granted = subject.step({
+    type: 'finished',
+    callId: 'a',
+    healthy: true,
+  });
+  expect(granted).toEqual([{type: 'reserved', reservationId: 'r'}]);
+  const expired = subject.step({type: 'tick'}, 1_000);
+  expect(expired).toEqual([
+    {type: 'reservation-ended', reservationId: 'r'},
+    {type: 'dispatch', callId: 'b', priority: 0},
+  ]);
+});
+
+test('a call that must run alone runs with no other beside it', () => {
+  const subject = createDoor();
+  offer(subject, 'a');
+  offer(subject, 'suspect', {alone: true});
+  expect(dispatched(subject.commands)).toEqual(['a']);
+  subject.step({type: 'finished', callId: 'a', healthy: true});
+  offer(subject, 'b');
+  expect(dispatched(subject.commands)).toEqual(['a', 'suspect']);
+});
+
+test('workspaces share a busy backend server by tokens', () => {
+  const subject = createDoor({coldRunning: 1, warmRunning: 1});
+  const report = {incarnation: 'a', saysCold: false};
+  subject.step({type: 'load-report', ...report}, 0);
+  subject.step({type: 'load-report', ...report}, 500);
+  offer(subject, 'first');
+  ['g1', 'g2', 'g3', 'g4', 'g5'].forEach(id =>
+    offer(subject, id, {workspace: 'greedy', promptTokens: 1_000}),
+  );
+  offer(subject, 'small', {workspace: 'small', promptTokens: 100});
+  const order = ['first'];
+  for (let i = 0; i < 3; i++) {
+    const callId = order.at(-1) ?? '';
+    const done = {type: 'finished', callId, healthy: true} as const;
+    order.push(...dispatched(subject.step(done, 10 + i)));
+  }
+  expect(order.slice(0, 3).includes('small')).toEqual(true);
+});
--- /dev/null
+++ b/packages/decisions/src/__tests__/routing.test.ts
@@ -0,0 +1,184 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {linkSubset} from '../routing/link_subset.js';
+import type {AgentReport} from '../routing/agent_report.js';
+import type {AgentView} from '../routing/agent_view.js';
+import {cutPrompt} from '../routing/cut_prompt.js';
+import {planGroup} from '../routing/plan_group.js';
+import {routeRequest} from '../routing/route_request.js';
+import type {RouteQuery} from '../routing/route_query.js';
+import {assignModels} from '../placement/assign_models.js';
+import {divideLimit} from '../shared/divide_limit.js';
+import {rankByRendezvous} from '../shared/rank_by_rendezvous.js';
+import {retryBudget} from '../shared/retry_budget.js';
+import {testHash} from './test_hash.js';
+
+function view(
+  agentId: string,
+  report: Partial<AgentReport> = {},
+  overrides: Partial<AgentView> = {},
+): AgentView {
+  return {
+    report: {
+      agentId,
+      incarnation: 'i',
+      backendServer: agentId,
+      kind: 'model-engine',
+      region: 'r',
+      zone: 'z1',
+      phase: 'serving',
+      serves: ['m'],
+      inService: true,
+      running: 0,
+      queued: 0,
+      pendingTokens: 0,
+      runningLimit: 8,
+      freeTokens: 100_000,
+      totalTokens: 100_000,
+      prefillRate: 10_000,
+      configRevision: 1,
+      ...report,
+    },
+    reportedAt: 0,
+    sentTokens: 0,
+    sentCalls: 0,
+    outstanding: 0,
+    linked: true,
+    avoidUntil: 0,
+    ...overrides,
+  };
+}
+
+function query(overrides: Partial<RouteQuery> = {}): RouteQuery {
+  return {
+    target: 'm',
+    kind: 'model-engine',
+    promptTokens: 1_000,
+    totalTokens: 1_016,
+    affinity: 'k',
+    region: 'r',
+    zone: 'z1',
+    exclude: [],
+    policy: 'figfall',
+    now: 0,
+    hash: testHash,
+    random: () => 0.5,
+    turn: 0,
+    ...overrides,
+  };
+}
+
+const MIX = {longShare: 0.3};
+const IDS = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+test('agents that are out, leaving, unlinked or excluded get nothing', () => {
+  const views = [
+    view('a', {inService: false}),
+    view('b', {phase: 'leaving'}),
+    view('c', {}, {linked: false}),
+    view('d'),
+  ];
+  const chosen = routeRequest(views, query(), MIX);
+  expect(chosen?.report.agentId).toEqual('d');
+  const none = routeRequest(views, query({exclude: ['d']}), MIX);
+  expect(none).toEqual(undefined);
+});
+
+test('equal prefixes go to one agent until it is busy', () => {
+  const views = IDS.map(id => view(id));
+  const home = routeRequest(views, query(), MIX)?.report.agentId ?? '';
+  expect(routeRequest(views, query(), MIX)?.report.agentId).toEqual(home);
+  const busy = IDS.map(id =>
+    view(id, {}, {sentTokens: id === home ? 50_000 : 0}),
+  );
+  const moved = routeRequest(busy, query(), MIX)?.report.agentId;
+  expect(moved === home).toEqual(false);
+});
+
+test('long prompts go to a part of the agents', () => {
+  const views = IDS.map(id => view(id));
+  const chosen = new Set(
+    Array.from({length: 50}, (_, i) => {
+      const long = query({promptTokens: 50_000, affinity: `k${i}`});
+      const spread = views.map(v => ({...v, sentTokens: (i * 7_919) % 1_000}));
+      return routeRequest(spread, long, MIX)?.report.agentId;
+    }),
+  );
+  expect(chosen.size <= 2).toEqual(true);
+});
+
+test('a node gone moves only its own keys and models', () => {
+  const rest = IDS.filter(id => id !== 'c');
+  Array.from({length: 100}, (_, i) => `key${i}`).forEach(key => {
+    const before = rankByRendezvous(key, IDS, testHash)[0];
+    const after = rankByRendezvous(key, rest, testHash)[0];
+    if (before !== 'c') expect(after).toEqual(before);
+  });
+  const demands = [{model: 'm', replicas: 3}];
+  const servers = IDS.map(id => ({id, zone: 'z', slots: 1}));
+  const holders = (list: typeof servers) =>
+    [...assignModels(demands, list, testHash)]
+      .filter(([, models]) => models.length > 0)
+      .map(([id]) => id);
+  const full = holders(servers);
+  const [gone] = full;
+  const less = holders(servers.filter(({id}) => id !== gone));
+  expect(less.filter(id => full.includes(id)).length).toEqual(2);
+});
+
+test('links stay bounded and reach other zones', () => {
+  const peers = Array.from({length: 300}, (_, i) => ({
+    id: `p${i}`,
+    zone: `z${i % 5}`,
+    region: 'r',
+  }));
+  const options = {entryId: 'e', zone: 'z1', region: 'r', size: 16};
+  const ids = linkSubset(peers, options, testHash);
+  const zones = ids.map(id => peers.find(peer => peer.id === id)?.zone);
+  expect(ids.length).toEqual(16);
+  expect(zones.filter(zone => zone === 'z1').length).toEqual(8);
+  expect(new Set(zones).size).toEqual(5);
+});
+
+test('shares of a limit add up to the limit', () => {
+  const members = ['a', 'b', 'c'];
+  const shares = members.map(id => divideLimit(10, members, id));
+  expect(shares).toEqual([4, 3, 3]);
+  expect(divideLimit(10, members, 'unknown')).toEqual(0);
+});
+
+test('groups come in one order and name the largest prompt that fits', () => {
+  const views = ['c', 'a', 'b'].map(id => view(id));
+  const need = {promptTokens: 150_000, outputTokens: 100, zone: 'z1'};
+  const plan = planGroup(views, need)._unsafeUnwrap();
+  expect(plan.map(({agentId}) => agentId)).toEqual(['a', 'b']);
+  const held = plan.reduce((sum, part) => sum + part.promptTokens, 0);
+  expect(held >= 150_000).toEqual(true);
+  const refused = planGroup(views, {...need, promptTokens: 400_000});
+  expect(refused.isErr() && refused.error.message).toEqual(
+    'The prompt has about 400000 tokens; at most 254700 can be served now. Shorten the prompt.',
+  );
+});
+
+test('a prompt is cut at blocks and loses nothing', () => {
+  const cuts = cutPrompt(10_500, [2, 1, 1], 1_000);
+  expect(cuts).toEqual([
+    {from: 0, to: 5_000},
+    {from: 5_000, to: 7_000},
+    {from: 7_000, to: 10_500},
+  ]);
+});
+
+test('retries can not exceed their share of requests', () => {
+  const options = {ratio: 0.2, burst: 5};
+  let budget = retryBudget.create(options);
+  let allowed = 0;
+  for (let i = 0; i < 100; i++) {
+    budget = retryBudget.recordAttempt(budget, options);
+    const spent = retryBudget.spend(budget);
+    budget = spent.budget;
+    if (spent.allowed) allowed += 1;
+  }
+  expect(allowed <= 25).toEqual(true);
+  expect(allowed >= 20).toEqual(true);
+});
--- a/packages/decisions/src/config/config_state.ts
+++ b/packages/decisions/src/config/config_state.ts
@@ -8,6 +8,6 @@
   readonly inForce: ReadonlyMap<string, ConfigEntry>;
   /** Highest version of any entry. */
   readonly revision: number;
-  /** Order-independent hash of all keys and versions. */
+  /** Order-independent hash of all keys, versions and versions in force. */
   readonly checksum: number;
 }
--- a/packages/decisions/src/config/config_store.ts
+++ b/packages/decisions/src/config/config_store.ts
@@ -15,20 +15,36 @@
   readonly changed: readonly ConfigEntry[];
 }
 
-function entryHash(entry: ConfigEntry, hash: HashFunction): number {
-  return hash(`${entry.key}@${entry.version}`);
+function recordHash(
+  state: Pick<ConfigState, 'entries' | 'inForce'>,
+  key: string,
+  hash: HashFunction,
+): number {
+  const known = state.entries.get(key);
+  if (!known) return 0;
+  const inForce = state.inForce.get(key)?.version ?? 0;
+  return hash(`${key}@${known.version}/${inForce}`);
 }
 
 function checksumOf(
-  state: ConfigState,
-  changed: readonly ConfigEntry[],
+  before: ConfigState,
+  after: Pick<ConfigState, 'entries' | 'inForce'>,
+  keys: readonly string[],
   hash: HashFunction,
 ): number {
-  return changed.reduce((sum, entry) => {
-    const old = state.entries.get(entry.key);
-    const removed = old ? entryHash(old, hash) : 0;
-    return (sum ^ removed ^ entryHash(entry, hash)) >>> 0;
-  }, state.checksum);
+  return keys.reduce((sum, key) => {
+    const removed = recordHash(before, key, hash);
+    return (sum ^ removed ^ recordHash(after, key, hash)) >>> 0;
+  }, before.checksum);
+}
+
+function newerThan(
+  known: ReadonlyMap<string, ConfigEntry>,
+  entries: readonly ConfigEntry[],
+): ConfigEntry[] {
+  return newest(entries).filter(
+    ({key, version}) => version > (known.get(key)?.version ?? 0),
+  );
 }
 
 function newest(entries: readonly ConfigEntry[]): ConfigEntry[] {
@@ -40,6 +56,14 @@
   return [...byKey.values()];
 }
 
+function withEntries(
+  known: ReadonlyMap<string, ConfigEntry>,
+  entries: readonly ConfigEntry[],
+): ReadonlyMap<string, ConfigEntry> {
+  const pairs = entries.map(entry => [entry.key, entry] as const);
+  return new Map([...known, ...pairs]);
+}
+
 /**
  * The records that a node knows. A merge keeps the higher version of each
  * record whatever the order of arrival, so no record ever goes back. An
@@ -56,21 +80,22 @@
     entries: readonly ConfigEntry[],
     options: MergeOptions,
   ): MergeStep {
-    const changed = newest(entries).filter(
-      entry => entry.version > (state.entries.get(entry.key)?.version ?? 0),
-    );
+    const fresh = newerThan(state.entries, entries);
+    const valid = newerThan(state.inForce, entries.filter(options.isValid));
+    const changed = [...new Set([...valid, ...fresh])];
     if (changed.length === 0) return {state, changed};
-    const valid = changed.filter(options.isValid);
-    const pairs = (list: readonly ConfigEntry[]) =>
-      list.map(entry => [entry.key, entry] as const);
-    const versions = changed.map(entry => entry.version);
+    const next = {
+      entries: withEntries(state.entries, fresh),
+      inForce: withEntries(state.inForce, valid),
+    };
+    const keys = [...new Set(changed.map(({key}) => key))];
+    const versions = fresh.map(({version}) => version);
     return {
       changed,
       state: {
-        entries: new Map([...state.entries, ...pairs(changed)]),
-        inForce: new Map([...state.inForce, ...pairs(valid)]),
+        ...next,
         revision: Math.max(state.revision, ...versions),
-        checksum: checksumOf(state, changed, options.hash),
+        checksum: checksumOf(state, next, keys, options.hash),
       },
     };
   },
--- a/packages/decisions/src/door/door.ts
+++ b/packages/decisions/src/door/door.ts
@@ -51,10 +51,11 @@
 ): DoorState {
   const run = state.running.get(callId);
   if (!run) return state;
-  const meter =
-    run.firstTokenAt === undefined
-      ? prefillMeter.ended(state.meter, tokens, now)
-      : state.meter;
+  const isMeasured =
+    run.firstTokenAt === undefined && run.call.callClass === 'short';
+  const meter = isMeasured
+    ? prefillMeter.ended(state.meter, tokens, now)
+    : state.meter;
   return {...state, meter, running: mapWithout(state.running, callId)};
 }
 
@@ -67,7 +68,11 @@
   const run = state.running.get(callId);
   if (!run || run.firstTokenAt !== undefined) return quiet(state);
   const running = mapWith(state.running, callId, {...run, firstTokenAt: now});
-  const meter = prefillMeter.ended(state.meter, run.call.promptTokens, now);
+  const {callClass, promptTokens} = run.call;
+  const meter =
+    callClass === 'short'
+      ? prefillMeter.ended(state.meter, promptTokens, now)
+      : state.meter;
   return quiet({...state, running, meter});
 }
 
--- a/packages/decisions/src/door/door_dispatch.ts
+++ b/packages/decisions/src/door/door_dispatch.ts
@@ -126,7 +126,10 @@
   return {
     ...state,
     running: mapWith(state.running, call.callId, {call, dispatchedAt: now}),
-    meter: prefillMeter.started(state.meter, now),
+    meter:
+      call.callClass === 'short'
+        ? prefillMeter.started(state.meter, now)
+        : state.meter,
     passing: paysForPassing
       ? tokenBucket.take(state.passing, limits, tokens, now).bucket
       : state.passing,
--- a/packages/decisions/src/door/prefill_meter.ts
+++ b/packages/decisions/src/door/prefill_meter.ts
@@ -24,7 +24,10 @@
   };
 }
 
-/** Measures the effective prefill rate of a backend server. */
+/**
+ * Measures the effective prefill rate of a backend server, on short prompts:
+ * the engine prefers them, so that long ones do not blur the figure.
+ */
 export const prefillMeter = {
   create(assumedRate: number, now: number): MeterState {
     const tokens = (assumedRate * PRIOR_MS) / 1_000;
--- a/packages/node-link/src/codec/frame_codec.ts
+++ b/packages/node-link/src/codec/frame_codec.ts
@@ -1,4 +1,5 @@
-import {Decoder, Encoder} from 'cbor-x';
+import {Decoder} from 'cbor-x/decode';
+import {Encoder} from 'cbor-x/encode';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import {LINK} from '../constants.js';
--- a/playground/src/deployment/agent_unit.ts
+++ b/playground/src/deployment/agent_unit.ts
@@ -1,6 +1,7 @@
 import type {AgentSettings} from 'figfall';
 import {createAgent} from 'figfall';
 import {runScoped} from '@figfall/task';
+import {startRelay} from '../network/start_relay.js';
 import type {startPlatform} from '../platform/start_platform.js';
 
 type StandInPlatform = Awaited<ReturnType<typeof startPlatform>>;
@@ -12,15 +13,21 @@
   constructor(
     private readonly platform: StandInPlatform,
     readonly settings: AgentSettings,
+    private readonly hasRelay: boolean,
   ) {}
 
+  /** Relay before the agent, where it has one. */
+  relay?: Awaited<ReturnType<typeof startRelay>>;
+
   async start(): Promise<void> {
     this.running = await runScoped(createAgent(this.settings));
+    const linkPort = () => this.running?.value.linkPort ?? 0;
+    if (this.hasRelay) this.relay ??= await startRelay(linkPort);
     this.platform.instances.set({
       id: this.settings.id,
       role: 'agent',
       host: '127.0.0.1',
-      port: this.running.value.linkPort,
+      port: this.relay?.port ?? linkPort(),
       region: this.settings.region,
       zone: this.settings.zone,
       backendServer: this.settings.backendServer,
@@ -34,6 +41,12 @@
     this.running = undefined;
   }
 
+  /** Ends the agent and its relay for good. */
+  async close(): Promise<void> {
+    await this.kill();
+    await this.relay?.close();
+  }
+
   /** Shuts the agent down gracefully. */
   async drain(): Promise<void> {
     await this.running?.value.drain();
--- a/playground/src/deployment/deployment_options.ts
+++ b/playground/src/deployment/deployment_options.ts
@@ -27,6 +27,8 @@
   readonly linksPerTarget?: number;
   readonly logLevel?: 'debug' | 'info' | 'warn' | 'error' | 'silent';
   readonly traceExporter?: 'none' | 'console' | 'otlp';
+  /** Puts a relay before each agent, to lose connections. @default false */
+  readonly relays?: boolean;
   /** Port of the first entry; 0 chooses a free one. */
   readonly httpPort?: number;
 }
--- a/playground/src/deployment/resolve_deployment.ts
+++ b/playground/src/deployment/resolve_deployment.ts
@@ -21,6 +21,7 @@
     linksPerTarget: 16,
     logLevel: 'silent',
     traceExporter: 'none',
+    relays: false,
     httpPort: 0,
     ...options,
   };
--- a/playground/src/deployment/start_deployment.ts
+++ b/playground/src/deployment/start_deployment.ts
@@ -99,7 +99,12 @@
     })),
   ];
   const agents = servers.map(
-    server => new AgentUnit(platform, agentSettings(options, baseUrl, server)),
+    server =>
+      new AgentUnit(
+        platform,
+        agentSettings(options, baseUrl, server),
+        options.relays,
+      ),
   );
   await Promise.all(agents.map(agent => agent.start()));
   const entries = numbers(options.entries).map(
@@ -129,7 +134,7 @@
     close: async () => {
       await Promise.all([
         ...entries.map(entry => entry.kill()),
-        ...agents.map(agent => agent.kill()),
+        ...agents.map(agent => agent.close()),
       ]);
       await Promise.all([
         platform.close(),
--- a/playground/src/platform/platform_faults.ts
+++ b/playground/src/platform/platform_faults.ts
@@ -1,7 +1,9 @@
 /** Faults of the stand-in platform that a test can switch. */
 export interface PlatformFaults {
-  /** Refuses every call. */
+  /** Refuses every call of the object API. */
   down: boolean;
+  /** Refuses every read of the list of instances. */
+  listDown: boolean;
   /** Milliseconds added to each answer. */
   delayMs: number;
   /** Number of next writes that take effect but are never answered. */
--- a/playground/src/platform/start_platform.ts
+++ b/playground/src/platform/start_platform.ts
@@ -25,6 +25,7 @@
   const {port, ...overrides} = options;
   const faults: PlatformFaults = {
     down: false,
+    listDown: false,
     delayMs: 0,
     loseAnswers: 0,
     callsPerSecond: 0,
@@ -115,10 +116,12 @@
     const url = new URL(req.url ?? '/', 'http://platform');
     if (url.pathname === '/control') return control(req, res);
     if (faults.delayMs > 0) await sleep(faults.delayMs);
-    if (faults.down) return sendJson(res, 503, {});
+    const isList = url.pathname === '/v1/instances';
+    const isDown = isList ? faults.listDown : faults.down;
+    if (isDown) return sendJson(res, 503, {});
     if (isOverRate()) return sendJson(res, 429, {});
     if (url.pathname === '/v1/watch') return watch(res, url);
-    if (url.pathname === '/v1/instances') {
+    if (isList) {
       counts.reads += 1;
       const listed = instances.lagging(faults.instanceLagMs);
       return sendJson(res, 200, {instances: listed});
