fix(figfall): a stopped agent writes nothing more

Cause: the kill test got an answer from an agent that had been ended, because its ledger went on writing after its scope had closed. Ruled out: a second execution (the service counted one). Change: the ledger is closed with the scope; watches of the stand-in no longer keep a test process alive for 20 s.

--- a/packages/figfall/src/agent/claim_ledger.ts
+++ b/packages/figfall/src/agent/claim_ledger.ts
@@ -38,6 +38,7 @@
 export class ClaimLedger {
   private readonly writers = new Map<string, Writer>();
   private readonly waiting = new Map<string, Settle>();
+  private closed = false;
 
   constructor(private readonly options: LedgerOptions) {}
 
@@ -87,6 +88,15 @@
     return results.every(({type}) => type === 'stored');
   }
 
+  /** Stops all reads and writes; nothing is settled any more. */
+  close(): void {
+    this.closed = true;
+  }
+
+  isClosed(): boolean {
+    return this.closed;
+  }
+
   /** Checks timers. */
   tick(): void {
     const now = Date.now();
@@ -117,6 +127,7 @@
   }
 
   private step(writer: Writer, event: ClaimWriterEvent): void {
+    if (this.closed) return;
     const {writer: options} = this.options;
     const next = claimWriter.step(writer.state, event, options, Date.now());
     writer.state = next.state;
--- a/packages/figfall/src/agent/create_agent.ts
+++ b/packages/figfall/src/agent/create_agent.ts
@@ -48,6 +48,7 @@
         retryMs: LEDGER_RETRY_MS,
       },
     });
+    yield* Effect.addFinalizer(() => Effect.sync(() => ledger.close()));
     const guarded = new GuardedRuns({
       context,
       ledger,
--- a/playground/src/deployment/deployment_records.ts
+++ b/playground/src/deployment/deployment_records.ts
@@ -79,7 +79,7 @@
       name: 'log-summary',
       model: 'log-summary',
       version: '1',
-      replicas: options.engines,
+      replicas: Math.max(1, options.engines),
       workspaces: all,
     },
     {kind: 'service', schemaVersion: 1, name: 'booking', workspaces: all},
--- a/playground/src/platform/object_table.ts
+++ b/playground/src/platform/object_table.ts
@@ -42,7 +42,7 @@
         const check = () => {
           if (matching(prefix, since).objects.length > 0) finish();
         };
-        const timer = setTimeout(finish, waitMs);
+        const timer = setTimeout(finish, waitMs).unref();
         listeners.add(check);
         check();
       }),
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -7,7 +7,14 @@
 const files = [...new Set(list.split('\n').filter(Boolean))];
 const run = spawnSync(
   process.execPath,
-  ['--import', 'tsx', '--test', '--test-reporter=spec', ...files],
+  [
+    '--import',
+    'tsx',
+    '--test',
+    '--test-timeout=120000',
+    '--test-reporter=spec',
+    ...files,
+  ],
   {stdio: 'inherit'},
 );
 process.exit(run.status ?? 1);
