--- /dev/null
+++ b/bench/src/index.ts
@@ -0,0 +1,1 @@
+export * from './run_bench.js';
--- /dev/null
+++ b/bench/src/load/lindenau.ts
@@ -0,0 +1,21 @@
+import type {DeploymentOptions} from '@figfall/playground';
+
+const WORKSPACES = 10;
+
+/** The size of the first users' deployment today. */
+export const LINDENAU = {
+  region: 'mitte',
+  zones: ['nord', 'werk', 'sued'],
+  engines: 16,
+  services: 3,
+  entries: 3,
+  workspaces: Array.from({length: WORKSPACES}, (_, i) => `station-${i + 1}`),
+  running: 16,
+  coldRunning: 2,
+  engine: {
+    prefillRate: 40_000,
+    decodeMs: 20,
+    batchKnee: 16,
+    totalTokens: 400_000,
+  },
+} as const satisfies DeploymentOptions;
--- /dev/null
+++ b/bench/src/results/find_value.ts
@@ -0,0 +1,11 @@
+import type {BenchRow} from './bench_row.js';
+
+/** Returns the value of a row; 0 where there is none. */
+export function findValue(
+  rows: readonly BenchRow[],
+  policy: string,
+  metric: string,
+): number {
+  const row = rows.find(r => r.policy === policy && r.metric === metric);
+  return row?.value ?? 0;
+}
--- a/packages/decisions/src/routing/route_request.ts
+++ b/packages/decisions/src/routing/route_request.ts
@@ -82,7 +82,9 @@
   figfall: chooseByPrediction,
   random: (views, query) => views[Math.floor(query.random() * views.length)],
   'round-robin': (views, query) => views[query.turn % views.length],
-  'least-outstanding': views => cheapest(views, view => view.outstanding),
+  // Ties are broken at random; else the first agents would get all the work.
+  'least-outstanding': (views, query) =>
+    cheapest(views, view => view.outstanding + query.random() / 2),
 };
 
 /**
--- a/packages/figfall/src/entry/entry_router.ts
+++ b/packages/figfall/src/entry/entry_router.ts
@@ -42,6 +42,7 @@
     exclude: readonly string[],
     isRetry: boolean,
   ): Result<AgentView, Failure> {
+    this.turn += 1;
     const view = spec.fixed
       ? this.fixedView(spec.fixed.agentId, exclude)
       : routeRequest(this.views.all(), this.query(spec, exclude), {
@@ -94,7 +95,6 @@
   private query(spec: CallSpec, exclude: readonly string[]): RouteQuery {
     const {hash, random} = this.context;
     const {region, zone, routingPolicy: policy} = this.settings;
-    this.turn += 1;
     return {
       target: spec.target,
       kind: spec.agentKind,
