feat(decisions): priorities by length, and prediction that knows short work passes long

Entries counted long prompts as work ahead of short ones although engines let short ones pass, so short ones crowded on the engines without long prompts; and a prompt of 1,000 tokens waited behind one of 18,000. Ruled out: the door (all policies had the same figures behind it). Change: reports split pending tokens, engine priority follows the length in steps of two, and baselines no longer get the classes of lengths.

--- a/bench/src/scenarios/scenario_table.ts
+++ b/bench/src/scenarios/scenario_table.ts
@@ -1,7 +1,21 @@
+import {coldStart} from './cold_start.js';
+import {crashingRequest} from './crashing_request.js';
+import {overhead} from './overhead.js';
+import {overload} from './overload.js';
+import {oversized} from './oversized.js';
 import type {Scenario} from './scenario.js';
+import {silentLink} from './silent_link.js';
 import {slowdown} from './slowdown.js';
+import {zone} from './zone.js';
 
 /** All scenarios by name. */
 export const SCENARIOS: Readonly<Record<string, Scenario>> = {
   slowdown,
+  zone,
+  'cold-start': coldStart,
+  overload,
+  oversized,
+  'silent-link': silentLink,
+  'crashing-request': crashingRequest,
+  overhead,
 };
--- a/packages/decisions/src/__tests__/routing.test.ts
+++ b/packages/decisions/src/__tests__/routing.test.ts
@@ -32,6 +32,7 @@
       running: 0,
       queued: 0,
       pendingTokens: 0,
+      pendingShortTokens: 0,
       runningLimit: 8,
       freeTokens: 100_000,
       totalTokens: 100_000,
@@ -41,6 +42,7 @@
     },
     reportedAt: 0,
     sentTokens: 0,
+    sentShortTokens: 0,
     sentCalls: 0,
     outstanding: 0,
     linked: true,
@@ -89,7 +91,7 @@
   const home = routeRequest(views, query(), MIX)?.report.agentId ?? '';
   expect(routeRequest(views, query(), MIX)?.report.agentId).toEqual(home);
   const busy = IDS.map(id =>
-    view(id, {}, {sentTokens: id === home ? 50_000 : 0}),
+    view(id, {}, {sentShortTokens: id === home ? 50_000 : 0}),
   );
   const moved = routeRequest(busy, query(), MIX)?.report.agentId;
   expect(moved === home).toEqual(false);
--- a/packages/decisions/src/door/call_class.ts
+++ b/packages/decisions/src/door/call_class.ts
@@ -1,2 +1,5 @@
-/** Scheduling class of a request, by the prompt tokens it must prefill. */
-export type CallClass = 'short' | 'long';
+/**
+ * Scheduling class of a request, by the prompt tokens it must prefill.
+ * `uniform` is for baselines that do not look at lengths.
+ */
+export type CallClass = 'short' | 'long' | 'uniform';
--- a/packages/decisions/src/door/door.ts
+++ b/packages/decisions/src/door/door.ts
@@ -52,7 +52,7 @@
   const run = state.running.get(callId);
   if (!run) return state;
   const isMeasured =
-    run.firstTokenAt === undefined && run.call.callClass === 'short';
+    run.firstTokenAt === undefined && run.call.callClass !== 'long';
   const meter = isMeasured
     ? prefillMeter.ended(state.meter, tokens, now)
     : state.meter;
@@ -70,7 +70,7 @@
   const running = mapWith(state.running, callId, {...run, firstTokenAt: now});
   const {callClass, promptTokens} = run.call;
   const meter =
-    callClass === 'short'
+    callClass !== 'long'
       ? prefillMeter.ended(state.meter, promptTokens, now)
       : state.meter;
   return quiet({...state, running, meter});
--- a/packages/decisions/src/door/door_dispatch.ts
+++ b/packages/decisions/src/door/door_dispatch.ts
@@ -14,7 +14,22 @@
 /** Factor over the undisturbed time at which a long prefill is overdue. */
 const OVERDUE_FACTOR = 2;
 
-const PRIORITY = {short: 0, long: 10} as const;
+/** Engine priority of long prompts; lower goes first. */
+const LONG_PRIORITY = 10;
+
+/** Prompt tokens of the shortest step of priorities. */
+const PRIORITY_STEP_TOKENS = 1_000;
+
+/**
+ * Returns the engine priority of a call. Shorter prompts go first, in steps
+ * of twice the length, so that none waits for one much longer than itself.
+ */
+function priorityOf(call: DoorCall, isAged: boolean): number {
+  if (isAged || call.callClass === 'uniform') return 0;
+  if (call.callClass === 'long') return LONG_PRIORITY;
+  const steps = Math.log2(call.promptTokens / PRIORITY_STEP_TOKENS);
+  return Math.max(0, Math.min(LONG_PRIORITY - 1, Math.floor(steps)));
+}
 
 function longPrefills(state: DoorState) {
   return doorLoad.prefills(state).filter(run => run.call.callClass === 'long');
@@ -44,7 +59,7 @@
   }
   const inFlight = doorLoad
     .prefills(state)
-    .filter(run => run.call.callClass === 'short')
+    .filter(run => run.call.callClass !== 'long')
     .reduce((tokens, run) => tokens + run.call.promptTokens, 0);
   const budget =
     (prefillMeter.rate(state.meter) * options.shortPrefillMs) / 1_000;
@@ -127,7 +142,7 @@
     ...state,
     running: mapWith(state.running, call.callId, {call, dispatchedAt: now}),
     meter:
-      call.callClass === 'short'
+      call.callClass !== 'long'
         ? prefillMeter.started(state.meter, now)
         : state.meter,
     passing: paysForPassing
@@ -151,7 +166,7 @@
   const {state: queue, call} = takeNext(state, options, now);
   if (!call) return {state, commands: []};
   const aged = now - call.arrivedAt > options.agingMs;
-  const priority = aged ? PRIORITY.short : PRIORITY[call.callClass];
+  const priority = priorityOf(call, aged);
   const started = start({...state, queue}, call, options, now);
   const rest = doorDispatch(started, options, now);
   const dispatch = {type: 'dispatch', callId: call.callId, priority} as const;
--- a/packages/decisions/src/door/door_load.ts
+++ b/packages/decisions/src/door/door_load.ts
@@ -1,3 +1,4 @@
+import type {CallClass} from './call_class.js';
 import type {DoorOptions} from './door_options.js';
 import type {DoorState} from './door_state.js';
 import {fairQueue} from './fair_queue.js';
@@ -56,19 +57,31 @@
     return state.queue.tokens + sum(prefilling);
   },
 
+  /** Prompt tokens of calls that are not long, queued or being prefilled. */
+  pendingShortTokens(state: DoorState): number {
+    const queued = fairQueue.calls(state.queue);
+    const prefilling = prefills(state).map(run => run.call);
+    const calls = [...queued, ...prefilling];
+    return sum(
+      calls
+        .filter(call => call.callClass !== 'long')
+        .map(call => call.promptTokens),
+    );
+  },
+
   /**
    * Predicts in milliseconds when a new call has its first token. A short
    * call waits for short work alone, since it passes long prefills.
    */
   firstTokenMs(
     state: DoorState,
-    callClass: 'short' | 'long',
+    callClass: CallClass,
     promptTokens: number,
   ): number {
     const ahead = [
       ...fairQueue.calls(state.queue),
       ...prefills(state).map(run => run.call),
-    ].filter(call => callClass === 'long' || call.callClass === 'short');
+    ].filter(call => callClass === 'long' || call.callClass !== 'long');
     const tokens = sum(ahead.map(call => call.promptTokens)) + promptTokens;
     return (tokens / prefillMeter.rate(state.meter)) * 1_000;
   },
--- a/packages/decisions/src/routing/agent_report.ts
+++ b/packages/decisions/src/routing/agent_report.ts
@@ -20,6 +20,8 @@
   readonly queued: number;
   /** Prompt tokens that are queued or being prefilled. */
   readonly pendingTokens: number;
+  /** Part of `pendingTokens` that is in short prompts. */
+  readonly pendingShortTokens: number;
   /** Largest number of requests that may run now. */
   readonly runningLimit: number;
   readonly freeTokens: number;
--- a/packages/decisions/src/routing/agent_view.ts
+++ b/packages/decisions/src/routing/agent_view.ts
@@ -6,6 +6,8 @@
   readonly reportedAt: number;
   /** Prompt tokens that this entry sent since the report. */
   readonly sentTokens: number;
+  /** Part of `sentTokens` that is in short prompts. */
+  readonly sentShortTokens: number;
   /** Requests that this entry sent since the report. */
   readonly sentCalls: number;
   /** Requests of this entry that have not ended. */
--- a/packages/figfall/src/agent/agent_door.ts
+++ b/packages/figfall/src/agent/agent_door.ts
@@ -50,6 +50,7 @@
       running: state.running.size,
       queued: state.queue.items.length,
       pendingTokens: doorLoad.pendingTokens(state),
+      pendingShortTokens: doorLoad.pendingShortTokens(state),
       runningLimit: doorLoad.runningLimit(state),
       freeTokens: doorLoad.freeTokens(state, doorOptions),
       totalTokens: doorOptions.totalTokens,
--- a/packages/figfall/src/entry/agent_views.ts
+++ b/packages/figfall/src/entry/agent_views.ts
@@ -21,6 +21,7 @@
       report,
       reportedAt: Date.now(),
       sentTokens: 0,
+      sentShortTokens: 0,
       sentCalls: 0,
       outstanding: known?.outstanding ?? 0,
       linked: true,
@@ -33,7 +34,10 @@
   }
 
   sent(agentId: string, promptTokens: number): void {
+    const isLong = promptTokens > ROUTING.LONG_PROMPT_TOKENS;
+    const shortTokens = isLong ? 0 : promptTokens;
     this.update(agentId, view => ({
+      sentShortTokens: view.sentShortTokens + shortTokens,
       sentTokens: view.sentTokens + promptTokens,
       sentCalls: view.sentCalls + 1,
       outstanding: view.outstanding + 1,
--- a/packages/figfall/src/entry/build_spec.ts
+++ b/packages/figfall/src/entry/build_spec.ts
@@ -1,7 +1,7 @@
 import {createHash} from 'node:crypto';
 import type {CompletionRequest, ServiceRequest} from '@figfall/caller';
 import {ROUTING, promptAffinity} from '@figfall/decisions';
-import type {HashFunction} from '@figfall/decisions';
+import type {HashFunction, RoutingPolicy} from '@figfall/decisions';
 import type {RecordForms} from '@figfall/operator';
 import type {CallSpec} from './call_spec.js';
 
@@ -11,6 +11,15 @@
   return hash.digest('hex').slice(0, 32);
 }
 
+/** Class of a prompt; baselines do not look at its length. */
+function classOf(
+  promptTokens: number,
+  policy: RoutingPolicy,
+): CallSpec['callClass'] {
+  if (policy !== 'figfall') return 'uniform';
+  return promptTokens > ROUTING.LONG_PROMPT_TOKENS ? 'long' : 'short';
+}
+
 interface Trace {
   readonly traceparent: string;
 }
@@ -22,17 +31,17 @@
     target: string,
     hash: HashFunction,
     {traceparent}: Trace,
+    policy: RoutingPolicy,
   ): CallSpec {
     const {identity, promptTokens, maxTokens} = req;
     const {workspace, requestId} = identity;
-    const isLong = promptTokens > ROUTING.LONG_PROMPT_TOKENS;
     return {
       requestId,
       kind: req.kind,
       agentKind: 'model-engine',
       workspace,
       target,
-      callClass: isLong ? 'long' : 'short',
+      callClass: classOf(promptTokens, policy),
       promptTokens,
       totalTokens: promptTokens + maxTokens,
       affinity: promptAffinity(workspace, target, req.prompt, hash),
--- a/packages/figfall/src/entry/request_desk.ts
+++ b/packages/figfall/src/entry/request_desk.ts
@@ -66,6 +66,7 @@
       target.value,
       context.hash,
       observed,
+      this.options.settings.routingPolicy,
     );
     const refusal = this.enter(spec);
     if (refusal) {
--- a/packages/node-link/src/messages/open_call.ts
+++ b/packages/node-link/src/messages/open_call.ts
@@ -1,3 +1,5 @@
+import type {CallClass} from '@figfall/decisions';
+
 /** A request as an entry offers it to an agent. */
 export interface OpenCall {
   /** Unique for each attempt. */
@@ -6,7 +8,7 @@
   readonly workspace: string;
   /** Model, or service, that the call is for. */
   readonly target: string;
-  readonly callClass: 'short' | 'long';
+  readonly callClass: CallClass;
   readonly promptTokens: number;
   readonly totalTokens: number;
   /** Milliseconds that are left until the deadline. */
