fix(entry): wait for links that are down; admit only what can end in time

Ruled out: the link's own recovery (streams under way were all whole). Change: a request waits up to 3 s for links to agents that are known; a call is admitted only if its predicted wait is under half of the time left, and a queued call is refused as soon as it can't be met.

--- a/bench/src/scenarios/scenario_table.ts
+++ b/bench/src/scenarios/scenario_table.ts
@@ -1,5 +1,8 @@
+import {atMostOnce} from './at_most_once.js';
 import {coldStart} from './cold_start.js';
+import {config} from './config.js';
 import {crashingRequest} from './crashing_request.js';
+import {ledger} from './ledger.js';
 import {overhead} from './overhead.js';
 import {overload} from './overload.js';
 import {oversized} from './oversized.js';
@@ -17,5 +20,8 @@
   oversized,
   'silent-link': silentLink,
   'crashing-request': crashingRequest,
+  'at-most-once': atMostOnce,
+  config,
+  ledger,
   overhead,
 };
--- /dev/null
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -0,0 +1,114 @@
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {test} from 'node:test';
+import {startPlatform} from '@figfall/playground';
+import {expect} from 'earl';
+import {main} from '../main.js';
+
+async function run(argv: readonly string[], env = {}) {
+  const out: string[] = [];
+  const errors: string[] = [];
+  const code = await main({
+    argv,
+    env,
+    output: {
+      print: line => out.push(line),
+      complain: line => errors.push(line),
+    },
+  });
+  return {code, out: out.join('\n'), errors: errors.join('\n')};
+}
+
+function file(value: unknown): string {
+  const path = join(mkdtempSync(join(tmpdir(), 'figfall-')), 'record.json');
+  writeFileSync(path, JSON.stringify(value));
+  return path;
+}
+
+const ZONE = {
+  kind: 'availability-zone',
+  schemaVersion: 1,
+  name: 'werk',
+  state: 'in',
+};
+
+test('all that is wrong with the settings is printed at once', async () => {
+  const {code, errors} = await run(['agent', '--zone', 'A B'], {
+    FIGFALL_LINK_KEY: 'short',
+    UV_USE_IO_URING: '1',
+  });
+  expect(code).toEqual(2);
+  [
+    'set --id or FIGFALL_ID',
+    '--zone is "A B"',
+    'FIGFALL_LINK_KEY is "short"; it must have 16 characters or more',
+    'UV_USE_IO_URING',
+  ].forEach(text => expect(errors.includes(text)).toEqual(true));
+});
+
+test('help of each command comes from the table that parses', async () => {
+  const {out} = await run(['--help']);
+  const names = [...out.matchAll(/^ {2}([a-z]+) {2,}/gm)].map(([, n]) => n);
+  expect(names.length).toEqual(10);
+  for (const name of names) {
+    const {code, out: help} = await run([name, '--help']);
+    expect(code).toEqual(0);
+    expect(help.startsWith(`usage: figfall ${name}`)).toEqual(true);
+  }
+  expect((await run(['toString'])).code).toEqual(2);
+  expect((await run(['get', '--nonsense'])).code).toEqual(2);
+});
+
+test('racing operators get a conflict that names the other version', async () => {
+  const platform = await startPlatform();
+  const url = ['--platform-url', platform.baseUrl];
+  try {
+    const path = file(ZONE);
+    expect((await run(['apply', path, ...url])).code).toEqual(0);
+    const again = await run(['apply', path, ...url]);
+    expect(again.code).toEqual(4);
+    expect(again.errors.includes('--version 1')).toEqual(true);
+    const got = await run(['get', 'availability-zone', 'werk', ...url]);
+    const edited = file(JSON.parse(got.out));
+    expect(
+      (await run(['drain', 'availability-zone', 'werk', ...url])).code,
+    ).toEqual(0);
+    const late = await run(['apply', edited, ...url]);
+    expect(late.code).toEqual(4);
+    expect(late.errors.includes('has version 2, not 1')).toEqual(true);
+    const status = await run(['status', ...url]);
+    expect(status.code).toEqual(3);
+    expect(status.out.includes('Availability zone werk is out')).toEqual(true);
+  } finally {
+    await platform.close();
+  }
+});
+
+test('a write whose answer is lost is settled, not repeated', async () => {
+  const platform = await startPlatform({loseAnswers: 1});
+  try {
+    const url = ['--platform-url', platform.baseUrl];
+    const applied = await run(['apply', file(ZONE), ...url]);
+    expect(applied.out).toEqual(
+      'availability-zone werk is accepted as version 1',
+    );
+  } finally {
+    await platform.close();
+  }
+});
+
+test('nothing is written where any record is not valid', async () => {
+  const platform = await startPlatform();
+  try {
+    const url = ['--platform-url', platform.baseUrl];
+    const path = file([ZONE, {...ZONE, name: 'X', state: 'gone'}]);
+    const applied = await run(['apply', path, ...url]);
+    expect(applied.code).toEqual(1);
+    expect(applied.errors.includes('field state is "gone"')).toEqual(true);
+    expect(platform.counts.writes).toEqual(0);
+    expect((await run(['validate', file(ZONE)])).code).toEqual(0);
+  } finally {
+    await platform.close();
+  }
+});
--- a/packages/decisions/src/__tests__/call_machine.test.ts
+++ b/packages/decisions/src/__tests__/call_machine.test.ts
@@ -14,6 +14,7 @@
     maxAttempts: 3,
     progressMs: 1_000,
     detachMs: 500,
+    routeMs: 300,
     crashes: 0,
     resumeFrom: 0,
     ...overrides,
@@ -160,6 +161,17 @@
   expect(call.failure()?.kind).toEqual('suspect-request');
 });
 
+test('a request waits for links to come back, but not without bound', () => {
+  const call = createCall();
+  const failure = createFailure('not-ready', 'links are down');
+  call.step({type: 'not-routed', failure}, 0);
+  expect(call.step({type: 'tick'}, 100).at(0)?.type).toEqual('route');
+  call.step({type: 'not-routed', failure}, 100);
+  expect(call.failure()).toEqual(undefined);
+  call.step({type: 'not-routed', failure}, 300);
+  expect(call.failure()?.ran).toEqual('no');
+});
+
 test('the deadline cancels the attempt and answers at once', () => {
   const call = createCall();
   call.route('a', '1');
--- a/packages/decisions/src/calls/call_machine.ts
+++ b/packages/decisions/src/calls/call_machine.ts
@@ -45,6 +45,7 @@
       agentIncarnation,
       attemptId,
       ranBefore: state.ran,
+      unroutedSince: undefined,
       heardAt: now,
       askedAt: now,
     },
@@ -52,10 +53,18 @@
   };
 }
 
+/** Waits for links that are down, for a time, before giving up. */
 function onNotRouted(
   state: CallState,
   event: Extract<CallEvent, {type: 'not-routed'}>,
+  options: CallOptions,
+  now: number,
 ): CallStep {
+  const unroutedSince = state.unroutedSince ?? now;
+  const mayWait = event.failure.kind === 'not-ready';
+  if (mayWait && now - unroutedSince < options.routeMs) {
+    return quiet({...state, unroutedSince, exclude: []});
+  }
   const failure =
     event.failure.kind === 'no-backend-server' && state.lastFailure
       ? state.lastFailure
@@ -171,6 +180,9 @@
 
 function onTick(state: CallState, options: CallOptions, now: number): CallStep {
   if (now >= options.deadlineAt) return onDeadline(state);
+  if (state.phase === 'routing') {
+    return callRecovery.routeAgain(state, state.exclude);
+  }
   if (state.phase === 'detached') {
     if (now - state.detachedAt < options.detachMs) return quiet(state);
     const failure = createFailure(
@@ -240,6 +252,7 @@
       heardAt: now,
       detachedAt: now,
       askedAt: now,
+      exclude: [],
     };
     return callRecovery.routeAgain(state, []);
   },
--- a/packages/decisions/src/calls/call_options.ts
+++ b/packages/decisions/src/calls/call_options.ts
@@ -12,6 +12,8 @@
   readonly progressMs: number;
   /** Milliseconds to wait for a lost link before moving elsewhere. */
   readonly detachMs: number;
+  /** Milliseconds to wait for links to agents that are known. */
+  readonly routeMs: number;
   /** Engine crashes already recorded for this request. */
   readonly crashes: number;
   /** Tokens that the caller already has from an earlier group of engines. */
--- a/packages/decisions/src/calls/call_recovery.ts
+++ b/packages/decisions/src/calls/call_recovery.ts
@@ -25,7 +25,7 @@
 
 function routeAgain(state: CallState, exclude: readonly string[]): CallStep {
   return {
-    state: {...state, phase: 'routing'},
+    state: {...state, phase: 'routing', exclude},
     commands: [
       {
         type: 'route',
--- a/packages/decisions/src/calls/call_state.ts
+++ b/packages/decisions/src/calls/call_state.ts
@@ -23,4 +23,8 @@
   /** Time at which the running attempt was last asked about. */
   readonly askedAt: number;
   readonly lastFailure?: Failure;
+  /** Agents that the next choice leaves out. */
+  readonly exclude: readonly string[];
+  /** Time since which no agent could be reached. */
+  readonly unroutedSince?: number;
 }
--- a/packages/decisions/src/door/door.ts
+++ b/packages/decisions/src/door/door.ts
@@ -6,6 +6,7 @@
 import {mapWithout} from '../shared/map_without.js';
 import {coldStart} from './cold_start.js';
 import {doorAdmission} from './door_admission.js';
+import type {DoorCall} from './door_call.js';
 import type {DoorCommand} from './door_command.js';
 import type {DoorCondition} from './door_condition.js';
 import {doorDispatch} from './door_dispatch.js';
@@ -169,17 +170,20 @@
   };
 }
 
+/** Refuses queued calls that can no longer be answered in time. */
 function refuseLate(state: DoorState, now: number): DoorStep {
+  const rate = prefillMeter.rate(state.meter);
+  const leastMs = (call: DoorCall) => (call.promptTokens / rate) * 1_000;
   const late = fairQueue
     .calls(state.queue)
-    .filter(call => call.deadlineAt <= now);
+    .filter(call => call.deadlineAt - leastMs(call) <= now);
   const queue = late.reduce(
     (rest, call) => fairQueue.remove(rest, call.callId),
     state.queue,
   );
   const failure = createFailure(
     'deadline-exceeded',
-    'The deadline passed while the call was queued.',
+    'The call was queued for too long to be answered in time.',
     {ran: 'no'},
   );
   const commands = late.map(call => refuse(call.callId, failure));
--- a/packages/decisions/src/door/door_admission.ts
+++ b/packages/decisions/src/door/door_admission.ts
@@ -8,6 +8,12 @@
 /** Queue places for each request that a cold backend server bears. */
 const COLD_QUEUE_FACTOR = 2;
 
+/**
+ * Share of the time left that a call may be predicted to wait. The rest is
+ * for tokens, and for calls that come later and go first.
+ */
+const ADMISSION_SHARE = 0.5;
+
 type Check = (
   state: DoorState,
   call: DoorCall,
@@ -103,7 +109,8 @@
     call.callClass,
     call.promptTokens,
   );
-  if (now + waitMs < call.deadlineAt) return undefined;
+  const leftMs = call.deadlineAt - now;
+  if (waitMs < leftMs * ADMISSION_SHARE) return undefined;
   return createFailure(
     'deadline-infeasible',
     `The first token would take about ${Math.ceil(waitMs)} ms, which is past the deadline.`,
--- a/packages/figfall/src/agent/agent_constants.ts
+++ b/packages/figfall/src/agent/agent_constants.ts
@@ -23,7 +23,7 @@
   /** Milliseconds of silence after which an engine's stream is given up. */
   STREAM_TIMEOUT_MS: 120_000,
   /** Tokens between two samples of the token interval. */
-  INTERVAL_SAMPLE_TOKENS: 8,
+  INTERVAL_SAMPLE_TOKENS: 4,
   /** Milliseconds for which the fate of an attempt is remembered. */
   FATE_MS: 600_000,
   /** Milliseconds for which storing an outcome is tried. */
--- a/packages/figfall/src/entry/entry_call.ts
+++ b/packages/figfall/src/entry/entry_call.ts
@@ -71,6 +71,7 @@
       maxAttempts: spec.fixed ? 1 : ENTRY.ATTEMPTS_MAX,
       progressMs: ENTRY.PROGRESS_MS,
       detachMs: ENTRY.DETACH_MS,
+      routeMs: ENTRY.ROUTE_MS,
       crashes: parts.crashes,
       resumeFrom: spec.resumeFrom,
     };
--- a/packages/figfall/src/entry/entry_constants.ts
+++ b/packages/figfall/src/entry/entry_constants.ts
@@ -14,6 +14,8 @@
   PROGRESS_MS: 2_000,
   /** Milliseconds to wait for a lost link before moving elsewhere. */
   DETACH_MS: 1_500,
+  /** Milliseconds to wait for links to agents that are known. */
+  ROUTE_MS: 3_000,
   /** Retries earned by one request, and the largest balance of retries. */
   RETRY_RATIO: 0.2,
   RETRY_BURST: 20,
--- a/packages/figfall/src/entry/entry_core.ts
+++ b/packages/figfall/src/entry/entry_core.ts
@@ -134,6 +134,7 @@
       peer: peerId,
       reason: event.reason,
     });
+    this.options.context.metrics.agentConfigRevision.remove({agent: peerId});
     this.views.linkDown(peerId);
     this.desk.linkDown(peerId);
   }
@@ -145,7 +146,14 @@
         message: Extract<PeerMessage, {readonly type: Type}>,
       ) => void;
     } = {
-      report: ({report}) => this.views.report(report),
+      report: ({report}) => {
+        const {agentId: agent, configRevision} = report;
+        this.views.report(report);
+        this.options.context.metrics.agentConfigRevision.set(
+          {agent},
+          configRevision,
+        );
+      },
       revisions: ({nodes}) => this.status.hear(nodes),
       digest: digest => this.replica.receive(link, digest),
       records: records => this.replica.receive(link, records),
--- a/packages/figfall/src/entry/entry_router.ts
+++ b/packages/figfall/src/entry/entry_router.ts
@@ -48,14 +48,7 @@
       : routeRequest(this.views.all(), this.query(spec, exclude), {
           longShare: this.longShare(),
         });
-    if (!view) {
-      return err(
-        createFailure(
-          'no-backend-server',
-          `No backend server in service can take "${spec.target}" now.`,
-        ),
-      );
-    }
+    if (!view) return err(this.unroutable(spec));
     return isRetry ? this.spendRetry().map(() => view) : ok(view);
   }
 
@@ -64,6 +57,24 @@
     return eligibleAgents(this.views.all(), this.query(spec, []));
   }
 
+  /** Tells agents that are only out of reach from there being none. */
+  private unroutable(spec: CallSpec): Failure {
+    const isOutOfReach = this.views
+      .all()
+      .some(
+        ({linked, report}) => !linked && report.serves.includes(spec.target),
+      );
+    return isOutOfReach
+      ? createFailure(
+          'not-ready',
+          `The backend servers of "${spec.target}" can't be reached now.`,
+        )
+      : createFailure(
+          'no-backend-server',
+          `No backend server in service can take "${spec.target}" now.`,
+        );
+  }
+
   private spendRetry(): Result<void, Failure> {
     const spent = retryBudget.spend(this.budget);
     this.budget = spent.budget;
--- a/packages/figfall/src/observability/create_metrics.ts
+++ b/packages/figfall/src/observability/create_metrics.ts
@@ -56,6 +56,12 @@
       help: 'Highest configuration version in force.',
       registers,
     }),
+    agentConfigRevision: new Gauge({
+      name: 'figfall_agent_config_revision',
+      help: 'Configuration version that a linked agent has in force.',
+      labelNames: ['agent'],
+      registers,
+    }),
     platformCalls: new Counter({
       name: 'figfall_platform_calls_total',
       help: 'Calls of the platform, by method and result.',
--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -15,3 +15,4 @@
 export * from './service/start_service.js';
 export * from './weights/start_weight_store.js';
 export * from './demo/run_dev.js';
+export * from './processes/start_fleet.js';
--- /dev/null
+++ b/playground/src/processes/start_fleet.ts
@@ -0,0 +1,140 @@
+import {fileURLToPath} from 'node:url';
+import {applyRecords} from '../deployment/apply_records.js';
+import {deploymentRecords} from '../deployment/deployment_records.js';
+import {resolveDeployment} from '../deployment/resolve_deployment.js';
+import {waitFor} from '../deployment/wait_for.js';
+import {startPlatform} from '../platform/start_platform.js';
+import {startService} from '../service/start_service.js';
+import {startProcess} from './start_process.js';
+
+interface FleetOptions {
+  readonly entries: number;
+  /** Instances of the plain service, each with an agent. */
+  readonly services: number;
+}
+
+type Started = Awaited<ReturnType<typeof startProcess>>;
+type Role = 'entry' | 'agent';
+
+const HOST = '127.0.0.1';
+const REVISION = /^figfall_(?:agent_)?config_revision\{([^}]*)\} (\d+)$/gm;
+const AGENT_LABEL = /agent="([^"]+)"/;
+
+const FIGFALL = fileURLToPath(
+  new URL('../../../packages/cli/src/bin.ts', import.meta.url),
+);
+
+/**
+ * Starts entries and agents of plain services as processes that can be
+ * killed and paused, beside stand-ins in this process.
+ */
+export async function startFleet(sizes: FleetOptions) {
+  const options = resolveDeployment({
+    engines: 0,
+    services: sizes.services,
+    entries: sizes.entries,
+  });
+  const platform = await startPlatform();
+  const services = await Promise.all(
+    Array.from({length: sizes.services}, () => startService()),
+  );
+  await applyRecords(platform.baseUrl, deploymentRecords(options));
+  const zoneOf = (i: number) => options.zones[i % options.zones.length];
+  const processes = new Map<string, Started>();
+
+  const start = async (
+    role: Role,
+    id: string,
+    i: number,
+    env: Readonly<Record<string, string>>,
+  ): Promise<void> => {
+    const zone = zoneOf(i);
+    const {region} = options;
+    const started = await startProcess({
+      file: FIGFALL,
+      args: [role],
+      env: {
+        FIGFALL_ID: id,
+        FIGFALL_REGION: region,
+        FIGFALL_ZONE: zone,
+        FIGFALL_PLATFORM_URL: platform.baseUrl,
+        FIGFALL_LINK_KEY: 'playground-link-key',
+        FIGFALL_LOG_LEVEL: 'error',
+        FIGFALL_LINK_PORT: '0',
+        FIGFALL_HTTP_PORT: '0',
+        ...env,
+      },
+    });
+    processes.set(id, started);
+    const {port} = started;
+    const backendServer = env.FIGFALL_BACKEND_SERVER;
+    const place = {host: HOST, port, region, zone, state: 'live'} as const;
+    platform.instances.set({id, role, ...place, backendServer});
+  };
+
+  const agentId = (i: number) => `agent-booking-${i + 1}`;
+  const entryId = (i: number) => `entry-${i + 1}`;
+  const startAgent = (i: number) =>
+    start('agent', agentId(i), i, {
+      FIGFALL_BACKEND_SERVER: `booking-${i + 1}`,
+      FIGFALL_BACKEND_URL: services[i].baseUrl,
+    });
+  const startEntry = (i: number) => start('entry', entryId(i), i, {});
+  const signal = (id: string, name: NodeJS.Signals) =>
+    processes.get(id)?.child.kill(name);
+
+  await Promise.all([
+    ...services.map((_, i) => startAgent(i)),
+    ...Array.from({length: sizes.entries}, (_, i) => startEntry(i)),
+  ]);
+  const entryUrl = (i: number) =>
+    `http://${HOST}:${processes.get(entryId(i))?.port}`;
+  const entryUrls = Array.from({length: sizes.entries}, (_, i) => entryUrl(i));
+
+  /** Configuration versions of entries, and of agents as entries know them. */
+  const revisions = async () =>
+    (
+      await Promise.all(
+        entryUrls.map(async (url, i) => {
+          const text = await (await fetch(`${url}/metrics`)).text();
+          return [...text.matchAll(REVISION)].map(([, labels, value]) => {
+            const agent = AGENT_LABEL.exec(labels)?.[1];
+            const id = agent ? `${entryId(i)}/${agent}` : entryId(i);
+            return {id, revision: Number(value)};
+          });
+        }),
+      )
+    ).flat();
+  await waitFor('entries have records', async () =>
+    (await revisions()).every(({revision}) => revision > 0),
+  );
+  await waitFor('links are up', async () => {
+    const texts = await Promise.all(
+      entryUrls.map(async url => (await fetch(`${url}/metrics`)).text()),
+    );
+    return texts.every(text =>
+      new RegExp(`figfall_links\\{[^}]*\\} ${sizes.services}$`, 'm').test(text),
+    );
+  });
+
+  return {
+    platform,
+    services,
+    entryUrls,
+    revisions,
+    startAgent,
+    killAgent: (i: number) => processes.get(agentId(i))?.kill(),
+    pauseAgent: (i: number) => signal(agentId(i), 'SIGSTOP'),
+    resumeAgent: (i: number) => signal(agentId(i), 'SIGCONT'),
+    killEntry: (i: number) => processes.get(entryId(i))?.kill(),
+    apply: (record: unknown) => applyRecords(platform.baseUrl, [record]),
+    close: async () => {
+      [...processes.keys()].forEach(id => signal(id, 'SIGCONT'));
+      await Promise.all([...processes.values()].map(p => p.kill()));
+      await Promise.all([
+        platform.close(),
+        ...services.map(service => service.close()),
+      ]);
+    },
+  };
+}
