--- a/bench/src/scenarios/scenario_table.ts
+++ b/bench/src/scenarios/scenario_table.ts
@@ -8,6 +8,7 @@
 import {oversized} from './oversized.js';
 import type {Scenario} from './scenario.js';
 import {silentLink} from './silent_link.js';
+import {slopes} from './slopes.js';
 import {slowdown} from './slowdown.js';
 import {zone} from './zone.js';
 
@@ -24,4 +25,5 @@
   config,
   ledger,
   overhead,
+  slopes,
 };
--- /dev/null
+++ b/bench/src/scenarios/slopes.ts
@@ -0,0 +1,135 @@
+import {readFileSync} from 'node:fs';
+import {sleep, startFleet} from '@figfall/playground';
+import {atMost} from '../results/at_most.js';
+import type {BenchRow} from '../results/bench_row.js';
+import type {Scenario} from './scenario.js';
+
+const AGENTS = [3, 9, 18] as const;
+const RECORDS = [0, 1_500, 4_400] as const;
+const IDLE_MS = 6_000;
+const SETTLE_MS = 4_000;
+const MS_PER_SECOND = 1_000;
+/** Unit of CPU time in the process table of the system. */
+const TICKS_PER_SECOND = 100;
+const BYTES_PER_KB = 1_024;
+const CPU_BOUND = 2.2;
+const MEMORY_BOUND_MB = 128;
+const BYTES_BOUND_KB = 23;
+
+type Fleet = Awaited<ReturnType<typeof startFleet>>;
+
+interface Usage {
+  readonly cpuSeconds: number;
+  readonly residentMb: number;
+}
+
+function usageOf(pid: number): Usage {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const kb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
+  return {
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    residentMb: kb / BYTES_PER_KB,
+  };
+}
+
+async function linkBytes(url: string): Promise<number> {
+  const text = await (await fetch(`${url}/metrics`)).text();
+  return [...text.matchAll(/^figfall_link_bytes\{[^}]*\} (\d+)$/gm)]
+    .map(([, value]) => Number(value))
+    .reduce((sum, value) => sum + value, 0);
+}
+
+/** Figures of an idle fleet, per role, over a time. */
+async function measure(fleet: Fleet, policy: string): Promise<BenchRow[]> {
+  await sleep(SETTLE_MS);
+  const before = fleet.pids().map(({id, pid}) => ({id, ...usageOf(pid)}));
+  const bytesBefore = await linkBytes(fleet.entryUrls[0]);
+  const calls = () => {
+    const {reads, writes, watches} = fleet.platform.counts;
+    return reads + writes + watches;
+  };
+  const callsBefore = calls();
+  await sleep(IDLE_MS);
+  const seconds = IDLE_MS / MS_PER_SECOND;
+  const bytes = (await linkBytes(fleet.entryUrls[0])) - bytesBefore;
+  const after = fleet.pids().map(({id, pid}) => ({id, ...usageOf(pid)}));
+  const roleRows = (['entry', 'agent'] as const).flatMap(role => {
+    const own = after.filter(({id}) => id.startsWith(role));
+    const cpu = own.map(({id, cpuSeconds}) => {
+      const start = before.find(node => node.id === id)?.cpuSeconds ?? 0;
+      return ((cpuSeconds - start) / seconds) * 100;
+    });
+    const mean = cpu.reduce((sum, value) => sum + value, 0) / cpu.length;
+    const memory = Math.max(...own.map(({residentMb}) => residentMb));
+    return [
+      {policy, metric: `${role} CPU idle`, value: mean, unit: '% of a core'},
+      {policy, metric: `${role} resident memory`, value: memory, unit: 'MB'},
+    ];
+  });
+  return [
+    ...roleRows,
+    {
+      policy,
+      metric: 'entry link bytes',
+      value: bytes / BYTES_PER_KB / seconds,
+      unit: 'KB/s',
+    },
+    {
+      policy,
+      metric: 'platform calls',
+      value: (calls() - callsBefore) / seconds,
+      unit: '1/s',
+    },
+  ];
+}
+
+function workspaceRecord(i: number) {
+  return {
+    kind: 'workspace',
+    schemaVersion: 1,
+    name: `workspace-${i}`,
+    tokenHash: 'a'.repeat(64),
+  };
+}
+
+/** CPU, memory and bytes of idle nodes against links and records. */
+export const slopes: Scenario = {
+  summary: 'CPU, memory and bytes of idle nodes against links and records',
+  run: async ({note}) => {
+    const rows: BenchRow[] = [];
+    for (const count of AGENTS) {
+      note(`${count} agents`);
+      const fleet = await startFleet({entries: 2, services: count});
+      rows.push(...(await measure(fleet, `${count} agents`)));
+      if (count === AGENTS[0]) {
+        let written = 0;
+        for (const total of RECORDS.slice(1)) {
+          note(`${total} records`);
+          for (; written < total; written++) {
+            const record = workspaceRecord(written);
+            const key = `config/workspace/${record.name}`;
+            fleet.platform.objects.put(key, JSON.stringify(record));
+          }
+          rows.push(...(await measure(fleet, `${total} records`)));
+        }
+      }
+      await fleet.close();
+    }
+    const worst = (metric: string) =>
+      Math.max(
+        ...rows.filter(row => row.metric.endsWith(metric)).map(r => r.value),
+      );
+    return {
+      rows,
+      targets: [
+        atMost('idle CPU, % of a core', worst('CPU idle'), CPU_BOUND),
+        atMost('resident memory, MB', worst('memory'), MEMORY_BOUND_MB),
+        atMost('link bytes, KB/s', worst('link bytes'), BYTES_BOUND_KB),
+      ],
+      broken: [],
+    };
+  },
+};
--- a/packages/decisions/src/door/door_admission.ts
+++ b/packages/decisions/src/door/door_admission.ts
@@ -104,11 +104,7 @@
       ? undefined
       : createFailure('deadline-infeasible', 'The deadline has passed.');
   }
-  const waitMs = doorLoad.firstTokenMs(
-    state,
-    call.callClass,
-    call.promptTokens,
-  );
+  const waitMs = doorLoad.firstTokenMs(state, call);
   const leftMs = call.deadlineAt - now;
   if (waitMs < leftMs * ADMISSION_SHARE) return undefined;
   return createFailure(
--- a/packages/decisions/src/door/door_dispatch.ts
+++ b/packages/decisions/src/door/door_dispatch.ts
@@ -59,7 +59,7 @@
   }
   const inFlight = doorLoad
     .prefills(state)
-    .filter(run => run.call.callClass !== 'long')
+    .filter(run => priorityOf(run.call, false) <= priorityOf(call, false))
     .reduce((tokens, run) => tokens + run.call.promptTokens, 0);
   const budget =
     (prefillMeter.rate(state.meter) * options.shortPrefillMs) / 1_000;
--- a/packages/decisions/src/door/door_load.ts
+++ b/packages/decisions/src/door/door_load.ts
@@ -1,4 +1,4 @@
-import type {CallClass} from './call_class.js';
+import type {DoorCall} from './door_call.js';
 import type {DoorOptions} from './door_options.js';
 import type {DoorState} from './door_state.js';
 import {fairQueue} from './fair_queue.js';
@@ -15,6 +15,10 @@
   );
 }
 
+function promptTokens(calls: readonly DoorCall[]): number {
+  return sum(calls.map(call => call.promptTokens));
+}
+
 function callTokens(state: DoorState): number {
   return sum(
     [...state.running.values()]
@@ -59,30 +63,28 @@
 
   /** Prompt tokens of calls that are not long, queued or being prefilled. */
   pendingShortTokens(state: DoorState): number {
-    const queued = fairQueue.calls(state.queue);
     const prefilling = prefills(state).map(run => run.call);
-    const calls = [...queued, ...prefilling];
-    return sum(
-      calls
-        .filter(call => call.callClass !== 'long')
-        .map(call => call.promptTokens),
-    );
+    const calls = [...fairQueue.calls(state.queue), ...prefilling];
+    return promptTokens(calls.filter(call => call.callClass !== 'long'));
   },
 
   /**
    * Predicts in milliseconds when a new call has its first token. A short
-   * call waits for short work alone, since it passes long prefills.
+   * call waits for short work alone, since it passes long prefills. A
+   * workspace that has calls queued gets only its share of the rate.
    */
-  firstTokenMs(
-    state: DoorState,
-    callClass: CallClass,
-    promptTokens: number,
-  ): number {
-    const ahead = [
-      ...fairQueue.calls(state.queue),
-      ...prefills(state).map(run => run.call),
-    ].filter(call => callClass === 'long' || call.callClass !== 'long');
-    const tokens = sum(ahead.map(call => call.promptTokens)) + promptTokens;
+  firstTokenMs(state: DoorState, call: DoorCall): number {
+    const counts = (other: DoorCall) =>
+      call.callClass === 'long' || other.callClass !== 'long';
+    const queued = fairQueue.calls(state.queue).filter(counts);
+    const running = prefills(state)
+      .map(run => run.call)
+      .filter(counts);
+    const own = queued.filter(other => other.workspace === call.workspace);
+    const names = [call, ...queued].map(({workspace}) => workspace);
+    const byShare = promptTokens(own) * new Set(names).size;
+    const ahead = Math.max(promptTokens(queued), byShare);
+    const tokens = ahead + promptTokens(running) + call.promptTokens;
     return (tokens / prefillMeter.rate(state.meter)) * 1_000;
   },
 };
--- a/packages/figfall/src/entry/entry_core.ts
+++ b/packages/figfall/src/entry/entry_core.ts
@@ -172,6 +172,15 @@
     this.views.keepOnly(peers.map(({id}) => id));
   }
 
+  private measureLinks(): void {
+    const {linkBytes} = this.options.context.metrics;
+    const totals = this.links.all().map(link => link.bytes());
+    const sent = totals.reduce((sum, bytes) => sum + bytes.sent, 0);
+    const received = totals.reduce((sum, bytes) => sum + bytes.received, 0);
+    linkBytes.set({direction: 'sent'}, sent);
+    linkBytes.set({direction: 'received'}, received);
+  }
+
   private onTick(): void {
     const now = Date.now();
     this.desk.tick();
@@ -179,6 +188,7 @@
     this.status.tick({instances: this.instances, revision, now});
     if (now - this.digestAt < ENTRY.DIGEST_MS) return;
     this.digestAt = now;
+    this.measureLinks();
     this.links.broadcast(this.replica.digestMessage());
   }
 }
--- a/packages/figfall/src/observability/create_metrics.ts
+++ b/packages/figfall/src/observability/create_metrics.ts
@@ -62,6 +62,12 @@
       labelNames: ['agent'],
       registers,
     }),
+    linkBytes: new Gauge({
+      name: 'figfall_link_bytes',
+      help: 'Bytes sent and received on the links that are up.',
+      labelNames: ['direction'],
+      registers,
+    }),
     platformCalls: new Counter({
       name: 'figfall_platform_calls_total',
       help: 'Calls of the platform, by method and result.',
--- a/playground/src/processes/start_fleet.ts
+++ b/playground/src/processes/start_fleet.ts
@@ -122,6 +122,9 @@
     services,
     entryUrls,
     revisions,
+    /** Process ids by node. */
+    pids: () =>
+      [...processes].map(([id, {child}]) => ({id, pid: child.pid ?? 0})),
     startAgent,
     killAgent: (i: number) => processes.get(agentId(i))?.kill(),
     pauseAgent: (i: number) => signal(agentId(i), 'SIGSTOP'),
