fix(decisions): no call passes a prefill that would miss its deadline

Change: a call waits at the door while a lower-priority prefill has less than three prefill times left.

--- a/packages/decisions/src/__tests__/door.test.ts
+++ b/packages/decisions/src/__tests__/door.test.ts
@@ -225,3 +225,15 @@
   }
   expect(order.slice(0, 3).includes('small')).toEqual(true);
 });
+
+test('no call passes a prefill that would miss its deadline', () => {
+  const subject = createDoor();
+  warm(subject);
+  const large = {promptTokens: 16_000, totalTokens: 16_010};
+  offer(subject, 'large', {...large, deadlineAt: 12_000}, 2_000);
+  offer(subject, 's1', {}, 3_000);
+  offer(subject, 's2', {}, 9_000);
+  expect(dispatched(subject.commands)).toEqual(['large', 's1']);
+  subject.step({type: 'first-token', callId: 'large'}, 9_100);
+  expect(dispatched(subject.commands)).toEqual(['large', 's1', 's2']);
+});
--- a/packages/decisions/src/door/door_dispatch.ts
+++ b/packages/decisions/src/door/door_dispatch.ts
@@ -14,6 +14,9 @@
 /** Factor over the undisturbed time at which a long prefill is overdue. */
 const OVERDUE_FACTOR = 2;
 
+/** Prefill times left before a deadline under which no call may pass. */
+const ENDANGERED_FACTOR = 3;
+
 /** Engine priority of long prompts; lower goes first. */
 const LONG_PRIORITY = 10;
 
@@ -43,6 +46,20 @@
   });
 }
 
+/** True where a running prefill misses its deadline if calls pass it. */
+function wouldEndanger(state: DoorState, call: DoorCall, now: number): boolean {
+  const rate = prefillMeter.rate(state.meter);
+  const priority = priorityOf(call, false);
+  return doorLoad
+    .prefills(state)
+    .map(run => run.call)
+    .filter(other => priorityOf(other, false) > priority)
+    .some(other => {
+      const prefillMs = (other.promptTokens / rate) * 1_000;
+      return other.deadlineAt - now < prefillMs * ENDANGERED_FACTOR;
+    });
+}
+
 function passingLimits(state: DoorState, options: DoorOptions) {
   const perSecond = prefillMeter.rate(state.meter) * (1 - options.longReserve);
   return {perSecond, burst: perSecond};
@@ -64,6 +81,7 @@
   const budget =
     (prefillMeter.rate(state.meter) * options.shortPrefillMs) / 1_000;
   if (inFlight > 0 && inFlight + call.promptTokens > budget) return false;
+  if (wouldEndanger(state, call, now)) return false;
   if (!hasOverdueLong(state, now)) return true;
   const limits = passingLimits(state, options);
   const tokens = Math.min(call.promptTokens, limits.burst);
