--- a/packages/decisions/src/calls/call_machine.ts
+++ b/packages/decisions/src/calls/call_machine.ts
@@ -3,6 +3,7 @@
 import {handleEvent} from '../shared/handle_event.js';
 import type {CallCommand} from './call_command.js';
 import type {CallEvent} from './call_event.js';
+import {callLinks} from './call_links.js';
 import type {CallOptions} from './call_options.js';
 import {callRecovery} from './call_recovery.js';
 import type {CallState} from './call_state.js';
@@ -14,15 +15,6 @@
   return {state, commands: []};
 }
 
-function attach(state: CallState, now: number): CallStep {
-  const {agentId, attemptId} = state;
-  if (!agentId || !attemptId) return quiet(state);
-  return {
-    state: {...state, askedAt: now},
-    commands: [{type: 'attach', agentId, attemptId, from: state.nextIndex}],
-  };
-}
-
 function cancelCommands(state: CallState): CallCommand[] {
   const {agentId, attemptId} = state;
   if (!agentId || !attemptId || state.phase === 'routing') return [];
@@ -90,7 +82,7 @@
   now: number,
 ): CallStep {
   const heard = {...state, heardAt: now};
-  if (event.index > state.nextIndex) return attach(heard, now);
+  if (event.index > state.nextIndex) return callLinks.attach(heard, now);
   const fresh = event.texts.slice(state.nextIndex - event.index);
   if (fresh.length === 0) return quiet(heard);
   return {
@@ -109,62 +101,13 @@
   event: Extract<CallEvent, {type: 'done'}>,
   now: number,
 ): CallStep {
-  if (event.count > state.nextIndex) return attach(state, now);
+  if (event.count > state.nextIndex) return callLinks.attach(state, now);
   return {
     state: {...state, phase: 'ended'},
     commands: [{type: 'complete'}],
   };
 }
 
-function onUnseen(
-  state: CallState,
-  event: Extract<CallEvent, {type: 'unseen'}>,
-  options: CallOptions,
-): CallStep {
-  const neverRan = event.agentIncarnation === state.agentIncarnation;
-  const unran = neverRan ? {...state, ran: state.ranBefore} : state;
-  const failure = neverRan
-    ? createFailure('link-lost', 'The request was lost on its way.', {
-        ran: 'no',
-      })
-    : createFailure(
-        'backend-lost',
-        'The node that ran the request has been replaced.',
-      );
-  return callRecovery.afterFailure(unran, failure, false, options);
-}
-
-function onLinkDown(
-  state: CallState,
-  event: Extract<CallEvent, {type: 'link-down'}>,
-  now: number,
-): CallStep {
-  const isOurs = state.agentId === event.agentId;
-  if (!isOurs || !['opening', 'active'].includes(state.phase)) {
-    return quiet(state);
-  }
-  const ran = state.ran === 'no' ? 'unknown' : state.ran;
-  return quiet({...state, phase: 'detached', detachedAt: now, ran});
-}
-
-function onLinkUp(
-  state: CallState,
-  event: Extract<CallEvent, {type: 'link-up'}>,
-  options: CallOptions,
-  now: number,
-): CallStep {
-  const isOurs = state.agentId === event.agentId;
-  if (!isOurs || state.phase !== 'detached') return quiet(state);
-  if (event.agentIncarnation !== state.agentIncarnation) {
-    const failure = createFailure(
-      'backend-lost',
-      'The node that ran the request has restarted.',
-    );
-    return callRecovery.afterFailure(state, failure, false, options);
-  }
-  return attach({...state, phase: 'active', heardAt: now}, now);
-}
-
 function onDeadline(state: CallState): CallStep {
   const failure = createFailure(
     'deadline-exceeded',
@@ -196,7 +139,7 @@
   if (!isWaiting || now - silentSince < options.progressMs) {
     return quiet(state);
   }
-  return attach(state, now);
+  return callLinks.attach(state, now);
 }
 
 function onCallerGone(state: CallState): CallStep {
@@ -220,9 +163,10 @@
     state.phase === 'opening'
       ? onAccepted(state, now)
       : quiet({...state, heardAt: now}),
-  unseen: onUnseen,
-  'link-down': (state, event, _options, now) => onLinkDown(state, event, now),
-  'link-up': onLinkUp,
+  unseen: callLinks.onUnseen,
+  'link-down': (state, event, _options, now) =>
+    callLinks.onLinkDown(state, event, now),
+  'link-up': callLinks.onLinkUp,
   'caller-gone': state => onCallerGone(state),
   tick: (state, _event, options, now) => onTick(state, options, now),
 };
--- a/packages/decisions/src/door/door.ts
+++ b/packages/decisions/src/door/door.ts
@@ -15,6 +15,7 @@
 import {doorReservations} from './door_reservations.js';
 import type {DoorState} from './door_state.js';
 import type {DoorStep} from './door_step.js';
+import {evictionReason} from './eviction_reason.js';
 import {fairQueue} from './fair_queue.js';
 import {prefillMeter} from './prefill_meter.js';
 
@@ -112,21 +113,6 @@
   return onColdStart(ended, {type: 'completed'}, options, now);
 }
 
-/** Returns why queued calls must leave, or nothing where they may stay. */
-function evictionReason(condition: DoorCondition): Failure | undefined {
-  if (condition.leaving) {
-    return createFailure('leaving', 'This backend server is shutting down.');
-  }
-  if (!condition.declared) {
-    return createFailure('not-declared', 'The backend server was undeclared.');
-  }
-  if (!condition.zoneIn) {
-    return createFailure('zone-out', 'The availability zone was taken out.');
-  }
-  if (condition.serverIn) return undefined;
-  return createFailure('server-out', 'The backend server was taken out.');
-}
-
 function onCondition(state: DoorState, condition: DoorCondition): DoorStep {
   const next = {...state, condition};
   const reason = evictionReason(condition);
@@ -137,39 +123,6 @@
   return {state: {...next, queue: fairQueue.empty()}, commands};
 }
 
-function onReserve(
-  state: DoorState,
-  event: Extract<DoorEvent, {type: 'reserve'}>,
-  options: DoorOptions,
-): DoorStep {
-  const {reservationId, tokens, expiresAt} = event;
-  const held = state.reservations.get(reservationId);
-  const failure = held
-    ? undefined
-    : (evictionReason(state.condition) ??
-      doorReservations.refusal(tokens, options));
-  if (failure) {
-    return {state, commands: [{type: 'not-reserved', reservationId, failure}]};
-  }
-  const granted = held?.granted ?? false;
-  const reservation = {reservationId, tokens, expiresAt, granted};
-  const reservations = mapWith(state.reservations, reservationId, reservation);
-  const confirm = {type: 'reserved', reservationId} as const;
-  return {
-    state: {...state, reservations},
-    commands: granted ? [confirm] : [],
-  };
-}
-
-function onRelease(state: DoorState, reservationId: string): DoorStep {
-  if (!state.reservations.has(reservationId)) return quiet(state);
-  const reservations = mapWithout(state.reservations, reservationId);
-  return {
-    state: {...state, reservations},
-    commands: [{type: 'reservation-ended', reservationId}],
-  };
-}
-
 /** Refuses queued calls that can no longer be answered in time. */
 function refuseLate(state: DoorState, now: number): DoorStep {
   const rate = prefillMeter.rate(state.meter);
@@ -210,8 +163,9 @@
   'connection-lost': onColdStart,
   condition: (state, event) => onCondition(state, event.condition),
   'options-changed': onColdStart,
-  reserve: onReserve,
-  release: (state, event) => onRelease(state, event.reservationId),
+  reserve: doorReservations.onReserve,
+  release: (state, event) =>
+    doorReservations.onRelease(state, event.reservationId),
   tick: (state, _event, _options, now) => onTick(state, now),
 };
 
--- a/packages/decisions/src/door/door_reservations.ts
+++ b/packages/decisions/src/door/door_reservations.ts
@@ -1,14 +1,63 @@
 import {createFailure} from '../errors/create_failure.js';
 import type {Failure} from '../errors/failure.js';
 import {mapWith} from '../shared/map_with.js';
+import {mapWithout} from '../shared/map_without.js';
+import type {DoorEvent} from './door_event.js';
 import {doorLoad} from './door_load.js';
 import type {DoorOptions} from './door_options.js';
 import type {DoorState} from './door_state.js';
 import type {DoorStep} from './door_step.js';
+import {evictionReason} from './eviction_reason.js';
 
 /** Share of an engine's memory that reservations may hold. */
 const RESERVABLE_SHARE = 0.9;
 
+function quiet(state: DoorState): DoorStep {
+  return {state, commands: []};
+}
+
+/** Returns why a reservation could never be granted, if so. */
+function refusal(tokens: number, options: DoorOptions): Failure | undefined {
+  const largest = Math.floor(options.totalTokens * RESERVABLE_SHARE);
+  if (tokens <= largest) return undefined;
+  return createFailure(
+    'memory-full',
+    `At most ${largest} tokens can be reserved on this backend server.`,
+  );
+}
+
+function onReserve(
+  state: DoorState,
+  event: Extract<DoorEvent, {type: 'reserve'}>,
+  options: DoorOptions,
+): DoorStep {
+  const {reservationId, tokens, expiresAt} = event;
+  const held = state.reservations.get(reservationId);
+  const failure = held
+    ? undefined
+    : (evictionReason(state.condition) ?? refusal(tokens, options));
+  if (failure) {
+    return {state, commands: [{type: 'not-reserved', reservationId, failure}]};
+  }
+  const granted = held?.granted ?? false;
+  const reservation = {reservationId, tokens, expiresAt, granted};
+  const reservations = mapWith(state.reservations, reservationId, reservation);
+  const confirm = {type: 'reserved', reservationId} as const;
+  return {
+    state: {...state, reservations},
+    commands: granted ? [confirm] : [],
+  };
+}
+
+function onRelease(state: DoorState, reservationId: string): DoorStep {
+  if (!state.reservations.has(reservationId)) return quiet(state);
+  const reservations = mapWithout(state.reservations, reservationId);
+  return {
+    state: {...state, reservations},
+    commands: [{type: 'reservation-ended', reservationId}],
+  };
+}
+
 /**
  * Reservations of an engine's memory by prompts that need several engines.
  * A reservation is granted in order of arrival as soon as running calls have
@@ -16,15 +65,8 @@
  * to new calls.
  */
 export const doorReservations = {
-  /** Returns why a reservation could never be granted, if so. */
-  refusal(tokens: number, options: DoorOptions): Failure | undefined {
-    const largest = Math.floor(options.totalTokens * RESERVABLE_SHARE);
-    if (tokens <= largest) return undefined;
-    return createFailure(
-      'memory-full',
-      `At most ${largest} tokens can be reserved on this backend server.`,
-    );
-  },
+  onReserve,
+  onRelease,
 
   /** Grants the first reservation that waits, where it fits. */
   grant(state: DoorState, options: DoorOptions): DoorStep {
--- a/packages/figfall/src/agent/agent_core.ts
+++ b/packages/figfall/src/agent/agent_core.ts
@@ -1,4 +1,3 @@
-import {unownedWork} from '@figfall/decisions';
 import type {DoorCommand, Instance} from '@figfall/decisions';
 import type {EngineLoad} from '@figfall/model-engine';
 import type {LinkEvent, PeerMessage} from '@figfall/node-link';
@@ -16,6 +15,7 @@
 import {buildDoorOptions} from './build_door_options.js';
 import {CallDesk} from './call_desk.js';
 import type {CallRunner} from './call_runner.js';
+import {EngineReconciler} from './engine_reconciler.js';
 import {OpenDesk} from './open_desk.js';
 import type {OrderDesk} from './order_desk.js';
 
@@ -53,9 +53,9 @@
   private readonly offers: OpenDesk;
   private readonly desk: CallDesk;
   private readonly reporter: AgentReporter;
+  private readonly reconciler: EngineReconciler;
   private instances: readonly Instance[] = [];
   private load?: EngineLoad;
-  private unowned = unownedWork.empty();
   private leaving = false;
   private digestAt = 0;
 
@@ -75,6 +75,13 @@
     const {calls, replica} = this;
     this.offers = new OpenDesk({calls, door, replica});
     this.desk = new CallDesk({context, calls, door, runner});
+    this.reconciler = new EngineReconciler({
+      logger: context.logger,
+      engine: runner.engine,
+      isOwned: id =>
+        this.door.hasReservation(id) ||
+        this.calls.find(id)?.record.status === 'running',
+    });
     this.reporter = new AgentReporter({
       context,
       settings,
@@ -220,7 +227,7 @@
     this.refresh();
     const {incarnation, cold: saysCold} = load;
     this.door.step({type: 'load-report', incarnation, saysCold});
-    this.reconcile(load.held);
+    this.reconciler.review(load.held);
     this.options.orders.tick({
       view: this.replica.view(),
       instances: this.instances,
@@ -228,25 +235,6 @@
     });
   }
 
-  /** Frees what the engine holds for calls that no longer exist. */
-  private reconcile(held: readonly string[]): void {
-    const isOwned = (id: string) =>
-      this.door.hasReservation(id) ||
-      this.calls.find(id)?.record.status === 'running';
-    const step = unownedWork.step(
-      this.unowned,
-      held,
-      isOwned,
-      AGENT.UNOWNED_GRACE_MS,
-      Date.now(),
-    );
-    this.unowned = step.state;
-    step.cancel.forEach(id => {
-      this.options.context.logger.info('freed unowned work', {callId: id});
-      void this.options.runner.engine.cancel(id);
-    });
-  }
-
   private onTick(): void {
     const now = Date.now();
     this.door.step({type: 'tick'});
--- a/packages/figfall/src/agent/create_agent.ts
+++ b/packages/figfall/src/agent/create_agent.ts
@@ -1,12 +1,11 @@
 import {createLinkServer} from '@figfall/node-link';
-import {createTask, repeatEvery} from '@figfall/task';
+import {repeatEvery} from '@figfall/task';
 import type {Task} from '@figfall/task';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 import {createNodeContext} from '../node/create_node_context.js';
-import {pollInstances} from '../node/poll_instances.js';
+import {startNode} from '../node/start_node.js';
 import {waitUntil} from '../node/wait_until.js';
-import {watchPlatform} from '../node/watch_platform.js';
 import {AGENT} from './agent_constants.js';
 import {AgentCore} from './agent_core.js';
 import type {AgentMessage} from './agent_message.js';
@@ -36,8 +35,7 @@
     const context = yield* Effect.promise(() =>
       createNodeContext(settings, 'agent'),
     );
-    const {logger, tracing} = context;
-    yield* Effect.addFinalizer(() => Effect.promise(tracing.shutdown));
+    const {logger} = context;
     const ledger = new ClaimLedger({
       platform: context.platform,
       writer: {
@@ -67,28 +65,16 @@
       weightStoreLoads: settings.weightStoreLoads,
     });
     const core = new AgentCore({context, settings, runner, orders});
-    const task: Task<AgentMessage> = yield* createTask<AgentMessage>({
-      name: 'agent',
-      handle: message => core.handle(message),
-      onError: error =>
-        logger.error((error as Error).stack ?? String(error), {
-          kind: 'internal-error',
-        }),
-    });
+    const task: Task<AgentMessage> = yield* startNode<AgentMessage>(
+      context,
+      core,
+    );
     const server = yield* createLinkServer({
       ...context.linkOptions,
       host: settings.linkHost,
       port: settings.linkPort,
       onEvent: event => task.send({type: 'link', event}),
     });
-    yield* watchPlatform({
-      context,
-      instances: () => core.instanceList(),
-      onEntries: entries => task.send({type: 'entries', entries}),
-    });
-    yield* pollInstances(context, instances =>
-      task.send({type: 'instances', instances}),
-    );
     yield* repeatEvery(AGENT.TICK_MS, () => task.send({type: 'tick'}));
     yield* repeatEvery(LEDGER_TICK_MS, () => ledger.tick());
     yield* repeatEvery(AGENT.FATE_MS / 10, () => guarded.tick());
--- a/packages/figfall/src/entry/create_entry.ts
+++ b/packages/figfall/src/entry/create_entry.ts
@@ -2,15 +2,14 @@
 import type {CallerHandler} from '@figfall/caller';
 import {createFailure} from '@figfall/decisions';
 import {createLinkPool} from '@figfall/node-link';
-import {createTask, repeatEvery} from '@figfall/task';
+import {repeatEvery} from '@figfall/task';
 import type {Task} from '@figfall/task';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 import {createNodeContext} from '../node/create_node_context.js';
 import type {NodeContext} from '../node/node_context.js';
-import {pollInstances} from '../node/poll_instances.js';
+import {startNode} from '../node/start_node.js';
 import {waitUntil} from '../node/wait_until.js';
-import {watchPlatform} from '../node/watch_platform.js';
 import {authorize} from './authorize.js';
 import {ENTRY} from './entry_constants.js';
 import {EntryCore} from './entry_core.js';
@@ -59,35 +58,22 @@
     const context = yield* Effect.promise(() =>
       createNodeContext(settings, 'entry'),
     );
-    const {logger, tracing, linkOptions, random} = context;
-    yield* Effect.addFinalizer(() => Effect.promise(tracing.shutdown));
+    const {logger, linkOptions, random} = context;
     const core = new EntryCore({
       context,
       settings,
       setPeers: peers => pool.setPeers(peers),
       send: message => task.send(message),
     });
-    const task: Task<EntryMessage> = yield* createTask<EntryMessage>({
-      name: 'entry',
-      handle: message => core.handle(message),
-      onError: error =>
-        logger.error((error as Error).stack ?? String(error), {
-          kind: 'internal-error',
-        }),
-    });
+    const task: Task<EntryMessage> = yield* startNode<EntryMessage>(
+      context,
+      core,
+    );
     const pool = yield* createLinkPool({
       ...linkOptions,
       random,
       onEvent: event => task.send({type: 'link', event}),
     });
-    yield* watchPlatform({
-      context,
-      instances: () => core.instanceList(),
-      onEntries: entries => task.send({type: 'entries', entries}),
-    });
-    yield* pollInstances(context, instances =>
-      task.send({type: 'instances', instances}),
-    );
     yield* repeatEvery(ENTRY.TICK_MS, () => task.send({type: 'tick'}));
     const server = yield* createCallerServer({
       host: settings.httpHost,
--- a/packages/figfall/src/entry/entry_call.ts
+++ b/packages/figfall/src/entry/entry_call.ts
@@ -6,8 +6,9 @@
   CallState,
 } from '@figfall/decisions';
 import {LINK} from '@figfall/node-link';
-import type {Link, OpenCall, PeerMessage} from '@figfall/node-link';
+import type {Link, PeerMessage} from '@figfall/node-link';
 import type {AgentViews} from './agent_views.js';
+import {buildOpenCall} from './build_open_call.js';
 import type {CallSink} from './call_sink.js';
 import type {CallSpec} from './call_spec.js';
 import {ENTRY} from './entry_constants.js';
@@ -145,37 +146,6 @@
     );
   }
 
-  private openCall(
-    command: Extract<CallCommand, {readonly type: 'open'}>,
-  ): OpenCall {
-    const {spec, configRevision} = this.parts;
-    const {body, fixed} = spec;
-    const isSmall = body.byteLength <= LINK.CHUNK_BYTES;
-    return {
-      callId: command.attemptId,
-      kind: spec.kind,
-      workspace: spec.workspace,
-      target: spec.target,
-      callClass: spec.callClass,
-      promptTokens: spec.promptTokens,
-      totalTokens: spec.totalTokens,
-      deadlineInMs: spec.deadlineAt - Date.now(),
-      alone: command.alone,
-      fingerprint: spec.fingerprint,
-      configRevision: configRevision(),
-      traceparent: spec.traceparent,
-      body: isSmall ? body : undefined,
-      bodyBytes: body.byteLength,
-      resumeIndex: command.resumeIndex,
-      resumeText: command.resumeIndex > 0 ? this.text : undefined,
-      reservationId: fixed?.reservationId,
-      carry: fixed?.carry,
-      idempotent: spec.idempotent,
-      key: spec.key,
-      http: spec.http,
-    };
-  }
-
   private route(command: Extract<CallCommand, {readonly type: 'route'}>): void {
     const {spec, router, views} = this.parts;
     this.endAttempt();
@@ -230,7 +200,11 @@
     route: command => this.route(command),
     open: command => {
       const link = this.parts.linkTo(command.agentId);
-      const call = this.openCall(command);
+      const revision = this.parts.configRevision();
+      const call = buildOpenCall(this.parts.spec, command, {
+        revision,
+        text: this.text,
+      });
       link?.send(command.attemptId, {type: 'open', call});
     },
     attach: ({agentId, attemptId: callId, from}) =>
--- a/packages/figfall/src/entry/request_desk.ts
+++ b/packages/figfall/src/entry/request_desk.ts
@@ -19,7 +19,7 @@
 import type {EntryRouter} from './entry_router.js';
 import type {EntrySettings} from './entry_settings.js';
 import {findTarget} from './find_target.js';
-import {GroupCall} from './group_call.js';
+import {GroupDesk} from './group_desk.js';
 import {LedgerCheck} from './ledger_check.js';
 import {observeRequest} from './observe_request.js';
 import {WorkspaceLimits} from './workspace_limits.js';
@@ -37,7 +37,7 @@
 export class RequestDesk {
   /** Calls by request id; parts of groups have ids of their own. */
   private readonly calls = new Map<string, EntryCall>();
-  private readonly groups = new Map<string, GroupCall>();
+  private readonly groups: GroupDesk;
   private readonly limits: WorkspaceLimits;
   private readonly ledgerCheck: LedgerCheck;
   private suspects = suspectTable.empty();
@@ -45,10 +45,16 @@
   constructor(private readonly options: RequestDeskOptions) {
     this.limits = new WorkspaceLimits(options.settings.id);
     this.ledgerCheck = new LedgerCheck(options.context);
+    this.groups = new GroupDesk({
+      router: options.router,
+      zone: options.settings.zone,
+      linkTo: agentId => this.linkTo(agentId),
+      startCall: (spec, sink) => this.startCall(spec, sink),
+    });
   }
 
   isBusy(): boolean {
-    return this.calls.size + this.groups.size > 0;
+    return this.calls.size > 0 || this.groups.isBusy();
   }
 
   setInstances(instances: readonly Instance[]): void {
@@ -80,10 +86,10 @@
       fail: sink.fail,
     });
     this.options.router.recordRequest(spec);
-    if (!this.needsGroup(spec)) {
-      return void this.startCall(spec, callSink, leave);
+    if (this.groups.isNeeded(spec)) {
+      return this.groups.start(spec, req, callSink, leave);
     }
-    this.startGroup(spec, req, callSink, leave);
+    this.startCall(spec, callSink, leave);
   }
 
   callService(
@@ -135,7 +141,7 @@
       }
       case 'reserved':
       case 'not-reserved':
-        return this.receiveReservation(message, link);
+        return this.groups.receive(message, link.peer()?.id ?? '');
       case 'suspect':
         return this.recordSuspect(message.fingerprint, message.crashes);
     }
@@ -150,22 +156,22 @@
   linkDown(agentId: string): void {
     const event = {type: 'link-down', agentId} as const;
     [...this.calls.values()].forEach(call => call.step(event));
-    [...this.groups.values()].forEach(group => group.step(event));
+    this.groups.step(event);
   }
 
   callerGone(requestId: string): void {
     this.calls.get(requestId)?.step({type: 'caller-gone'});
-    this.groups.get(requestId)?.callerGone();
+    this.groups.callerGone(requestId);
   }
 
   drained(requestId: string): void {
     this.calls.get(requestId)?.drained();
-    this.groups.get(requestId)?.drained();
+    this.groups.drained(requestId);
   }
 
   tick(): void {
     [...this.calls.values()].forEach(call => call.step({type: 'tick'}));
-    [...this.groups.values()].forEach(group => group.step({type: 'tick'}));
+    this.groups.step({type: 'tick'});
   }
 
   private enter(spec: CallSpec): Failure | undefined {
@@ -174,14 +180,6 @@
     return this.limits.enter(workspace, spec.promptTokens);
   }
 
-  /** True where no single engine in service can hold the prompt. */
-  private needsGroup(spec: CallSpec): boolean {
-    const sizes = this.options.router
-      .serving(spec)
-      .map(({report}) => report.totalTokens);
-    return sizes.length > 0 && spec.totalTokens > Math.max(...sizes);
-  }
-
   private linkTo(agentId: string): Link | undefined {
     return this.options.links.toNode(agentId);
   }
@@ -213,49 +211,6 @@
     return call;
   }
 
-  private startGroup(
-    spec: CallSpec,
-    req: CompletionRequest,
-    sink: CallSink,
-    onEnd: () => void,
-  ): void {
-    const {router, settings} = this.options;
-    const {requestId} = spec;
-    const group = new GroupCall({
-      spec,
-      prompt: req.prompt,
-      outputTokens: req.maxTokens,
-      zone: settings.zone,
-      sink,
-      router,
-      linkTo: agentId => this.linkTo(agentId),
-      startCall: (part, partSink) => this.startCall(part, partSink),
-      onEnd: () => {
-        this.groups.delete(requestId);
-        onEnd();
-      },
-    });
-    if (!group.isEnded()) this.groups.set(requestId, group);
-  }
-
-  private receiveReservation(
-    message: Extract<
-      Extract<LinkEvent, {readonly type: 'message'}>['message'],
-      {readonly type: 'reserved' | 'not-reserved'}
-    >,
-    link: Link,
-  ): void {
-    const requestId = message.reservationId.replace(/\.g\d+$/, '');
-    const agentId = link.peer()?.id ?? '';
-    const group = this.groups.get(requestId);
-    if (!group?.owns(message.reservationId)) return;
-    group.step(
-      message.type === 'reserved'
-        ? {type: 'reserved', agentId}
-        : {type: 'not-reserved', agentId, failure: message.failure},
-    );
-  }
-
   private recordSuspect(fingerprint: string, crashes: number): void {
     this.suspects = suspectTable.record(
       this.suspects,
