--- a/bench/src/scenarios/at_most_once.ts
+++ b/bench/src/scenarios/at_most_once.ts
@@ -18,6 +18,10 @@
   readonly runsThen: number;
 }
 
+function answerKind({errorKind, complete}: CallerAnswer): string {
+  return errorKind ?? (complete ? 'answered' : 'no answer');
+}
+
 /** Bookings under kills, lost answers, outages, pauses and resends. */
 export const atMostOnce: Scenario = {
   summary: 'bookings under kills, pauses, outages, lost answers and resends',
@@ -84,11 +88,8 @@
     ).length;
     await system.close();
     const count = (kind: string) =>
-      observed.filter(({answer}) => (answer.errorKind ?? 'answered') === kind)
-        .length;
-    const kinds = [
-      ...new Set(observed.map(({answer}) => answer.errorKind ?? 'answered')),
-    ];
+      observed.filter(({answer}) => answerKind(answer) === kind).length;
+    const kinds = [...new Set(observed.map(({answer}) => answerKind(answer)))];
     return {
       rows: [
         {
