--- a/packages/decisions/src/routing/route_request.ts
+++ b/packages/decisions/src/routing/route_request.ts
@@ -25,11 +25,18 @@
   return ROUTING.REGION_PENALTY_MS;
 }
 
+/** Predicted milliseconds that a prefix cache hit is worth. */
+function affinitySlackMs(view: AgentView, query: RouteQuery): number {
+  const rate = view.report.prefillRate || ROUTING.ASSUMED_PREFILL_RATE;
+  const prefillMs = (query.promptTokens / rate) * 1_000;
+  return prefillMs * ROUTING.AFFINITY_SLACK_SHARE;
+}
+
 function cost(view: AgentView, query: RouteQuery, isHome: boolean): number {
   const full = view.report.freeTokens < query.totalTokens ? 500 : 0;
   const avoided = view.avoidUntil > query.now ? 2_000 : 0;
-  const slack = isHome ? -ROUTING.AFFINITY_SLACK_MS : 0;
   const wait = predictWait(view, query.promptTokens);
+  const slack = isHome ? -affinitySlackMs(view, query) : 0;
   return wait + distancePenalty(view, query) + slack + full + avoided;
 }
 
@@ -49,9 +56,12 @@
   return views.filter(view => ids.includes(view.report.agentId));
 }
 
-/** Two random agents beside the affinity candidates keep load spread. */
-function sampleTwo(views: readonly AgentView[], query: RouteQuery) {
-  return [0, 1].map(() => views[Math.floor(query.random() * views.length)]);
+/** Random agents beside the affinity candidates keep load spread. */
+function sample(views: readonly AgentView[], query: RouteQuery) {
+  return Array.from(
+    {length: ROUTING.SAMPLED_CANDIDATES},
+    () => views[Math.floor(query.random() * views.length)],
+  );
 }
 
 const chooseByPrediction: Choice = (views, query, mix) => {
@@ -72,7 +82,7 @@
   }
   const ranked = rankByRendezvous(query.affinity, ids, query.hash);
   const home = ranked.slice(0, ROUTING.AFFINITY_CANDIDATES);
-  const candidates = [...pickByIds(views, home), ...sampleTwo(views, query)];
+  const candidates = [...pickByIds(views, home), ...sample(views, query)];
   return cheapest(candidates, view =>
     cost(view, query, view.report.agentId === home[0]),
   );
--- a/packages/decisions/src/routing/routing_constants.ts
+++ b/packages/decisions/src/routing/routing_constants.ts
@@ -4,8 +4,10 @@
   LONG_PROMPT_TOKENS: 20_000,
   /** Replicas compared for one affinity key. */
   AFFINITY_CANDIDATES: 3,
-  /** Predicted wait in milliseconds that a prefix cache hit is worth. */
-  AFFINITY_SLACK_MS: 60,
+  /** Part of a prompt's own prefill time that a prefix hit is worth. */
+  AFFINITY_SLACK_SHARE: 0.2,
+  /** Agents drawn at random beside the affinity candidates. */
+  SAMPLED_CANDIDATES: 5,
   /** Predicted cost in milliseconds of leaving the availability zone. */
   ZONE_PENALTY_MS: 2,
   /** Predicted cost in milliseconds of leaving the region. */
--- /dev/null
+++ b/packages/figfall/src/agent/__tests__/ledger_sweeper.test.ts
@@ -0,0 +1,36 @@
+import {test} from 'node:test';
+import {createPlatform} from '@figfall/platform';
+import {startPlatform} from '@figfall/playground';
+import {expect} from 'earl';
+import {AGENT} from '../agent_constants.js';
+import {LedgerSweeper} from '../ledger_sweeper.js';
+
+const RETENTION_MS = 86_400_000;
+const MARGIN_MS = 3_600_000;
+const NOW = 1_000 * AGENT.LEDGER_SEGMENT_MS;
+
+test('segments past the retention are deleted, and no others', async () => {
+  const standIn = await startPlatform();
+  const platform = createPlatform({
+    baseUrl: standIn.baseUrl,
+    timeoutMs: 1_000,
+    watchMs: 1_000,
+  });
+  try {
+    const oldest = NOW - RETENTION_MS - MARGIN_MS;
+    const expired = Math.floor(oldest / AGENT.LEDGER_SEGMENT_MS) - 1;
+    const keys = [
+      `ledger/s/${expired}/0/0`,
+      `ledger/s/${expired}/0/1`,
+      `ledger/s/${expired + 1}/0/0`,
+      `ledger/other/${expired}/0/0`,
+    ];
+    keys.forEach(key => standIn.objects.put(key, '{}'));
+    const sweeper = new LedgerSweeper({platform, retentionMs: RETENTION_MS});
+    await sweeper.sweep('s', NOW);
+    const left = standIn.objects.matching('ledger/', 0).objects;
+    expect(left.map(({key}) => key)).toEqual(keys.slice(2));
+  } finally {
+    await standIn.close();
+  }
+});
--- a/packages/figfall/src/agent/agent_constants.ts
+++ b/packages/figfall/src/agent/agent_constants.ts
@@ -36,6 +36,8 @@
   LEDGER_SEGMENT_MS: 3_600_000,
   /** Bytes at which a ledger object takes no new keys. */
   LEDGER_SEAL_BYTES: 600_000,
+  /** Milliseconds between looks for expired ledger segments. */
+  SWEEP_MS: 300_000,
   /** Largest body in bytes of an outcome that is kept. */
   OUTCOME_BYTES_MAX: 2_048,
 } as const;
--- a/packages/figfall/src/agent/create_agent.ts
+++ b/packages/figfall/src/agent/create_agent.ts
@@ -13,6 +13,7 @@
 import {CallRunner} from './call_runner.js';
 import {ClaimLedger} from './claim_ledger.js';
 import {GuardedRuns} from './guarded_runs.js';
+import {LedgerSweeper} from './ledger_sweeper.js';
 import {OrderDesk} from './order_desk.js';
 
 /** A running agent. */
@@ -47,6 +48,10 @@
       },
     });
     yield* Effect.addFinalizer(() => Effect.sync(() => ledger.close()));
+    const sweeper = new LedgerSweeper({
+      platform: context.platform,
+      retentionMs: settings.keyRetentionMs,
+    });
     const guarded = new GuardedRuns({
       context,
       ledger,
@@ -78,6 +83,10 @@
     yield* repeatEvery(AGENT.TICK_MS, () => task.send({type: 'tick'}));
     yield* repeatEvery(LEDGER_TICK_MS, () => ledger.tick());
     yield* repeatEvery(AGENT.FATE_MS / 10, () => guarded.tick());
+    yield* repeatEvery(AGENT.SWEEP_MS, () => {
+      const service = core.service();
+      if (service) void sweeper.sweep(service, Date.now());
+    });
     yield* repeatEvery(AGENT.LOAD_MS, () => {
       const kind = core.backendKind();
       if (kind) void runner.readLoad(kind);
