fix: one agent writes a ledger shard; quiet nodes cost less

Change: keys of a shard go to one agent; a conflict waits for the interval; reports and digests that say nothing new go out every 5 and 4 s, and at once after a change; ledger timers run only while there is work; processes of the bench run the built bundle.

--- a/bench/src/scenarios/cold_start.ts
+++ b/bench/src/scenarios/cold_start.ts
@@ -36,6 +36,7 @@
   const {engines} = deployment;
   engines.forEach(({cold}) => {
     cold.maxExcess = 0;
+    cold.lateArrivals = 0;
   });
   const requests = makeWorkload({
     seed,
@@ -59,6 +60,7 @@
   ]);
   await deployment.close();
   const excess = Math.max(0, ...engines.map(({cold}) => cold.maxExcess));
+  const late = engines.reduce((sum, {cold}) => sum + cold.lateArrivals, 0);
   const failed = outcomes.filter(({isRight}) => !isRight);
   const lost = failed.filter(({answer}) => answer.ran !== 'no').length;
   return {
@@ -70,6 +72,12 @@
         value: excess,
         unit: 'requests',
       },
+      {
+        policy: POLICY,
+        metric: `${fall}: came to a full cold engine`,
+        value: late,
+        unit: 'requests',
+      },
       {
         policy: POLICY,
         metric: `${fall}: refused`,
--- a/bench/src/scenarios/overhead.ts
+++ b/bench/src/scenarios/overhead.ts
@@ -1,15 +1,15 @@
 import {openExchange, readEvents} from '@figfall/http-client';
-import {createCaller, makePrompt} from '@figfall/playground';
-import {openDeployment} from '../load/open_deployment.js';
+import {createCaller, makePrompt, startFleet} from '@figfall/playground';
 import {atMost} from '../results/at_most.js';
 import type {BenchRow} from '../results/bench_row.js';
 import {findValue} from '../results/find_value.js';
 import {quantileRows} from '../results/quantile_rows.js';
 import type {Scenario} from './scenario.js';
-import {SIZES} from './sizes.js';
 
 const STREAMS = [1, 200] as const;
 const REQUESTS = {1: 60, 200: 400} as const;
+const ENGINES = 4;
+const WARM_REQUESTS = 600;
 const PROMPT_TOKENS = 1_000;
 const MAX_TOKENS = 10;
 
@@ -59,23 +59,29 @@
 /** Time that figfall adds to tokens, against the engine directly. */
 export const overhead: Scenario = {
   summary: 'added time to first token and between tokens, 1 and 200 streams',
-  run: async ({size, note}) => {
-    const base = SIZES[size];
-    const deployment = await openDeployment({
-      ...base,
-      running: 64,
-      engine: {...base.engine, prefillRate: 400_000, batchKnee: 64},
+  run: async ({note}) => {
+    const fleet = await startFleet({
+      entries: 2,
+      services: 0,
+      engines: ENGINES,
+      engine: {prefillRate: 400_000, decodeMs: 20, batchKnee: 64},
     });
-    const {engines, entries} = deployment;
-    const callers = entries.map(entry =>
-      createCaller(() => entry.baseUrl, base.workspaces[0]),
+    const {engineUrls} = fleet;
+    const callers = fleet.entryUrls.map(url =>
+      createCaller(() => url, 'lindenau'),
+    );
+    await inParallel(WARM_REQUESTS, 8, i =>
+      callers[i % callers.length].complete({
+        prompt: makePrompt(PROMPT_TOKENS, `warm ${i}`),
+        maxTokens: 2,
+      }),
     );
     const rows: BenchRow[] = [];
     for (const width of STREAMS) {
       note(`${width} streams`);
       const plain = await inParallel(REQUESTS[width], width, i =>
         direct(
-          engines[i % engines.length].baseUrl,
+          engineUrls[i % engineUrls.length],
           makePrompt(PROMPT_TOKENS, `direct ${width} ${i}`),
         ),
       );
@@ -107,7 +113,7 @@
         ),
       );
     }
-    await deployment.close();
+    await fleet.close();
     const p95 = findValue(rows, 'figfall 200', 'first token p95');
     const between = findValue(rows, 'figfall 200', 'between tokens p95');
     return {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -77,6 +77,7 @@
 export * from './ledger/claim_writer_state.js';
 export * from './ledger/judge_claim.js';
 export * from './ledger/key_location.js';
+export * from './ledger/key_shard.js';
 export * from './ledger/ran_by_key.js';
 export * from './ledger/segment_size.js';
 export * from './config/config_digest.js';
--- a/packages/decisions/src/ledger/claim_writer.ts
+++ b/packages/decisions/src/ledger/claim_writer.ts
@@ -160,7 +160,7 @@
     quiet({...state, mode: 'idle', notBefore: now + options.retryMs}),
   written: (state, event, _options, now) =>
     onWritten(state, event.version, now),
-  conflict: state => quiet(reload(state, 0)),
+  conflict: state => quiet(reload(state, state.notBefore)),
   'write-lost': (state, _event, options, now) =>
     quiet(reload(state, now + options.retryMs)),
   tick: quiet,
--- a/packages/decisions/src/ledger/key_location.ts
+++ b/packages/decisions/src/ledger/key_location.ts
@@ -3,6 +3,7 @@
 import {createFailure} from '../errors/create_failure.js';
 import type {Failure} from '../errors/failure.js';
 import type {HashFunction} from '../shared/hash_function.js';
+import {keyShard} from './key_shard.js';
 
 /** Where the claim of an idempotency key stands. */
 interface KeyLocation {
@@ -59,7 +60,8 @@
       ),
     );
   }
-  const shard = hash(`${dated.workspace}/${dated.key}`) % options.shards;
+  const {workspace, key} = dated;
+  const shard = keyShard(workspace, key, options.shards, hash);
   const segment = Math.floor(dated.createdAt / options.segmentMs);
   return ok({prefix: `ledger/${dated.service}/${segment}/${shard}`, shard});
 }
--- a/packages/figfall/src/agent/agent_constants.ts
+++ b/packages/figfall/src/agent/agent_constants.ts
@@ -1,15 +1,15 @@
 /** Constants of agents. */
 export const AGENT = {
   /** Milliseconds between checks of timers. */
-  TICK_MS: 50,
+  TICK_MS: 100,
   /** Milliseconds between reads of the backend server's load. */
   LOAD_MS: 250,
   /** Milliseconds between reports to entries where nothing changed. */
-  REPORT_MS: 1_000,
+  REPORT_MS: 5_000,
   /** Least milliseconds between two reports. */
   REPORT_MIN_MS: 100,
   /** Milliseconds between digests of the configuration. */
-  DIGEST_MS: 1_000,
+  DIGEST_MS: 4_000,
   /** Milliseconds for which the outcome of a call is kept. */
   OUTCOME_MS: 60_000,
   /** Milliseconds for which a running call waits for its entry. */
--- a/packages/figfall/src/agent/agent_core.ts
+++ b/packages/figfall/src/agent/agent_core.ts
@@ -180,7 +180,8 @@
 
   private onLink(event: LinkEvent): void {
     this.links.follow(event);
-    this.board.follow(event);
+    const isNews = this.board.follow(event);
+    if (isNews) this.reporter.sendRevisions(this.instances);
     if (event.type === 'link-up') {
       event.link.send('control', this.replica.digestMessage());
       this.reporter.sendTo(event.link);
--- a/packages/figfall/src/agent/claim_ledger.ts
+++ b/packages/figfall/src/agent/claim_ledger.ts
@@ -34,11 +34,19 @@
   return change.type === 'claim' ? change.claim.attemptId : change.attemptId;
 }
 
+/** Milliseconds between checks of the timers of busy writers. */
+const TICK_MS = 25;
+
+function isBusy({state}: Writer): boolean {
+  return state.mode !== 'idle' || state.waiting.length > 0;
+}
+
 /** Runs the writers of ledger segments against the platform. */
 export class ClaimLedger {
   private readonly writers = new Map<string, Writer>();
   private readonly waiting = new Map<string, Settle>();
   private closed = false;
+  private timer?: NodeJS.Timeout;
 
   constructor(private readonly options: LedgerOptions) {}
 
@@ -91,21 +99,27 @@
   /** Stops all reads and writes; nothing is settled any more. */
   close(): void {
     this.closed = true;
+    clearTimeout(this.timer);
   }
 
   isClosed(): boolean {
     return this.closed;
   }
 
-  /** Checks timers. */
-  tick(): void {
-    const now = Date.now();
-    this.writers.forEach((writer, key) => {
-      const isBusy =
-        writer.state.mode !== 'idle' || writer.state.waiting.length > 0;
-      if (isBusy) this.step(writer, {type: 'tick'});
-      else if (now - writer.usedAt > WRITER_IDLE_MS) this.writers.delete(key);
-    });
+  /** Forgets writers that have not been used for long. */
+  forgetIdle(now: number): void {
+    [...this.writers]
+      .filter(([, writer]) => !isBusy(writer))
+      .filter(([, {usedAt}]) => now - usedAt > WRITER_IDLE_MS)
+      .forEach(([key]) => this.writers.delete(key));
+  }
+
+  /** Checks the timers of busy writers, and again while there are any. */
+  private tick(): void {
+    this.timer = undefined;
+    [...this.writers.values()]
+      .filter(isBusy)
+      .forEach(writer => this.step(writer, {type: 'tick'}));
   }
 
   private submit(objectKey: string, change: ClaimChange): Promise<ClaimResult> {
@@ -132,6 +146,7 @@
     const next = claimWriter.step(writer.state, event, options, Date.now());
     writer.state = next.state;
     next.commands.forEach(command => this.execute(writer, command));
+    if (isBusy(writer)) this.timer ??= setTimeout(() => this.tick(), TICK_MS);
   }
 
   private execute(writer: Writer, command: ClaimWriterCommand): void {
--- a/packages/figfall/src/agent/create_agent.ts
+++ b/packages/figfall/src/agent/create_agent.ts
@@ -24,7 +24,6 @@
   readonly drain: () => Promise<void>;
 }
 
-const LEDGER_TICK_MS = 10;
 const LEDGER_RETRY_MS = 100;
 const MS_PER_SECOND = 1_000;
 
@@ -81,8 +80,10 @@
       onEvent: event => task.send({type: 'link', event}),
     });
     yield* repeatEvery(AGENT.TICK_MS, () => task.send({type: 'tick'}));
-    yield* repeatEvery(LEDGER_TICK_MS, () => ledger.tick());
-    yield* repeatEvery(AGENT.FATE_MS / 10, () => guarded.tick());
+    yield* repeatEvery(AGENT.FATE_MS / 10, () => {
+      guarded.tick();
+      ledger.forgetIdle(Date.now());
+    });
     yield* repeatEvery(AGENT.SWEEP_MS, () => {
       const service = core.service();
       if (service) void sweeper.sweep(service, Date.now());
--- a/packages/figfall/src/entry/build_spec.ts
+++ b/packages/figfall/src/entry/build_spec.ts
@@ -1,8 +1,9 @@
 import {createHash} from 'node:crypto';
 import type {CompletionRequest, ServiceRequest} from '@figfall/caller';
-import {ROUTING, promptAffinity} from '@figfall/decisions';
+import {ROUTING, keyShard, promptAffinity} from '@figfall/decisions';
 import type {HashFunction, RoutingPolicy} from '@figfall/decisions';
 import type {RecordForms} from '@figfall/operator';
+import {AGENT} from '../agent/agent_constants.js';
 import type {CallSpec} from './call_spec.js';
 
 function fingerprintOf(...parts: readonly (string | Uint8Array)[]): string {
@@ -20,6 +21,17 @@
   return promptTokens > ROUTING.LONG_PROMPT_TOKENS ? 'long' : 'short';
 }
 
+/** Sends all keys of a ledger shard to one agent, so that it alone writes. */
+function shardAffinity(
+  service: string,
+  workspace: string,
+  {key}: NonNullable<CallSpec['key']>,
+  hash: HashFunction,
+): string {
+  const shard = keyShard(workspace, key, AGENT.LEDGER_SHARDS, hash);
+  return `${service}/${shard}`;
+}
+
 interface Trace {
   readonly traceparent: string;
 }
@@ -58,6 +70,7 @@
   service(
     req: ServiceRequest,
     service: RecordForms['service'],
+    hash: HashFunction,
     {traceparent}: Trace,
   ): CallSpec {
     const {identity, method, path, contentType, body, key} = req;
@@ -71,7 +84,9 @@
       callClass: 'short',
       promptTokens: 0,
       totalTokens: 0,
-      affinity: key ? `${workspace}/${key.key}` : requestId,
+      affinity: key
+        ? shardAffinity(service.name, workspace, key, hash)
+        : requestId,
       fingerprint: fingerprintOf(workspace, method, path, body),
       body,
       idempotent: service.idempotentMethods.includes(method),
--- a/packages/figfall/src/entry/entry_constants.ts
+++ b/packages/figfall/src/entry/entry_constants.ts
@@ -1,9 +1,9 @@
 /** Constants of entries. */
 export const ENTRY = {
   /** Milliseconds between checks of timers. */
-  TICK_MS: 50,
+  TICK_MS: 100,
   /** Milliseconds between digests of the configuration. */
-  DIGEST_MS: 1_000,
+  DIGEST_MS: 4_000,
   /** Milliseconds between reviews of the links that are kept. */
   LINK_PLAN_MS: 500,
   /** Agents that may refuse a request before its caller is refused. */
--- a/packages/figfall/src/entry/request_desk.ts
+++ b/packages/figfall/src/entry/request_desk.ts
@@ -101,7 +101,7 @@
     const service = findTarget.service(view(), workspace, req.service);
     if (service.isErr()) return reply(err(service.error));
     const observed = observeRequest(context, req.identity, 0);
-    const spec = buildSpec.service(req, service.value, observed);
+    const spec = buildSpec.service(req, service.value, context.hash, observed);
     const fail = (failure: Failure) =>
       void this.ledgerCheck
         .verify(spec, failure)
--- a/packages/figfall/src/entry/status_writer.ts
+++ b/packages/figfall/src/entry/status_writer.ts
@@ -35,7 +35,7 @@
 };
 
 /** Milliseconds after which the revision of a node counts as unknown. */
-const HEARD_MS = 10_000;
+const HEARD_MS = 15_000;
 
 /** Writes the status of the availability zones that this entry is writer of. */
 export class StatusWriter {
--- a/packages/figfall/src/node/config_replica.ts
+++ b/packages/figfall/src/node/config_replica.ts
@@ -78,6 +78,7 @@
         fromLinkId,
       ),
     );
+    this.options.links.broadcast(this.digestMessage());
     this.options.onChange(this.current, step.changed);
   }
 
--- a/packages/figfall/src/node/revision_board.ts
+++ b/packages/figfall/src/node/revision_board.ts
@@ -4,16 +4,21 @@
 export class RevisionBoard {
   private readonly revisions = new Map<string, number>();
 
-  /** Notes the digest of a peer; forgets peers whose link is down. */
-  follow(event: LinkEvent): void {
-    const id = event.type === 'link-up' ? event.peer.id : event.link.peer()?.id;
-    if (!id) return;
-    if (event.type === 'link-down') this.revisions.delete(id);
-    if (event.type !== 'message') return;
-    const {message} = event;
-    if (message.type === 'digest') {
-      this.revisions.set(id, message.digest.revision);
+  /**
+   * Notes the digest of a peer; forgets peers whose link is down. Returns
+   * true where a revision has changed.
+   */
+  follow(event: LinkEvent): boolean {
+    const id = event.link.peer()?.id;
+    if (!id) return false;
+    if (event.type === 'link-down') return this.revisions.delete(id);
+    if (event.type !== 'message' || event.message.type !== 'digest') {
+      return false;
     }
+    const {revision} = event.message.digest;
+    const isNews = this.revisions.get(id) !== revision;
+    this.revisions.set(id, revision);
+    return isNews;
   }
 
   list(): {readonly id: string; readonly revision: number}[] {
--- a/packages/node-link/src/constants.ts
+++ b/packages/node-link/src/constants.ts
@@ -19,7 +19,7 @@
   /** Largest number of milliseconds between attempts to connect. */
   RECONNECT_MAX_MS: 2_000,
   /** Milliseconds between checks of a link's timers. */
-  TICK_MS: 100,
+  TICK_MS: 250,
   /** Bytes of a prompt in one message. */
   CHUNK_BYTES: 65_536,
 } as const;
--- a/playground/src/engine/engine_core.ts
+++ b/playground/src/engine/engine_core.ts
@@ -10,13 +10,15 @@
 /** Largest number of running requests seen over what a cold engine bears. */
 interface ColdFigures {
   maxExcess: number;
+  /** Requests that came to a cold engine when it had all that it bears. */
+  lateArrivals: number;
 }
 
 /** Continuous batching, memory and cold starts of the stand-in engine. */
 export function engineCore(options: EngineOptions) {
   const sequences = new Map<string, Sequence>();
   const cache = prefixCache(CACHE_BLOCKS);
-  const cold: ColdFigures = {maxExcess: 0};
+  const cold: ColdFigures = {maxExcess: 0, lateArrivals: 0};
   let incarnation = 1;
   let completions = 0;
   let coldSince = Date.now();
@@ -135,6 +137,8 @@
     isCold,
     add: (sequence: Sequence): void => {
       sequences.set(sequence.id, sequence);
+      const excess = running().length - options.coldRunning;
+      if (isCold() && excess > 0) cold.lateArrivals += 1;
       if (timer) return;
       steppedAt = Date.now();
       timer = setInterval(step, STEP_MS);
--- a/playground/src/processes/start_fleet.ts
+++ b/playground/src/processes/start_fleet.ts
@@ -1,4 +1,6 @@
+import {existsSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
+import type {DeploymentOptions} from '../deployment/deployment_options.js';
 import {applyRecords} from '../deployment/apply_records.js';
 import {deploymentRecords} from '../deployment/deployment_records.js';
 import {resolveDeployment} from '../deployment/resolve_deployment.js';
@@ -9,6 +11,9 @@
 
 interface FleetOptions {
   readonly entries: number;
+  /** Model engines, each a process with an agent. @default 0 */
+  readonly engines?: number;
+  readonly engine?: DeploymentOptions['engine'];
   /** Instances of the plain service, each with an agent. */
   readonly services: number;
 }
@@ -20,9 +25,16 @@
 const REVISION = /^figfall_(?:agent_)?config_revision\{([^}]*)\} (\d+)$/gm;
 const AGENT_LABEL = /agent="([^"]+)"/;
 
-const FIGFALL = fileURLToPath(
+const STAND_IN = fileURLToPath(new URL('../stand_in_main.ts', import.meta.url));
+const SOURCE = fileURLToPath(
   new URL('../../../packages/cli/src/bin.ts', import.meta.url),
 );
+const BUNDLE = fileURLToPath(
+  new URL('../../../dist/figfall.cjs', import.meta.url),
+);
+
+/** The built program where there is one, else its source. */
+const FIGFALL = existsSync(BUNDLE) ? BUNDLE : SOURCE;
 
 /**
  * Starts entries and agents of plain services as processes that can be
@@ -30,7 +42,9 @@
  */
 export async function startFleet(sizes: FleetOptions) {
   const options = resolveDeployment({
-    engines: 0,
+    engines: sizes.engines ?? 0,
+    engine: sizes.engine ?? {},
+    running: 64,
     services: sizes.services,
     entries: sizes.entries,
   });
@@ -38,6 +52,17 @@
   const services = await Promise.all(
     Array.from({length: sizes.services}, () => startService()),
   );
+  const engines = await Promise.all(
+    Array.from({length: options.engines}, () =>
+      startProcess({
+        file: STAND_IN,
+        args: [
+          'engine',
+          JSON.stringify({...options.engine, models: ['log-summary@1']}),
+        ],
+      }),
+    ),
+  );
   await applyRecords(platform.baseUrl, deploymentRecords(options));
   const zoneOf = (i: number) => options.zones[i % options.zones.length];
   const processes = new Map<string, Started>();
@@ -79,12 +104,19 @@
       FIGFALL_BACKEND_SERVER: `booking-${i + 1}`,
       FIGFALL_BACKEND_URL: services[i].baseUrl,
     });
+  const engineUrls = engines.map(({port}) => `http://${HOST}:${port}`);
+  const startEngineAgent = (i: number) =>
+    start('agent', `agent-engine-${i + 1}`, i, {
+      FIGFALL_BACKEND_SERVER: `engine-${i + 1}`,
+      FIGFALL_BACKEND_URL: engineUrls[i],
+    });
   const startEntry = (i: number) => start('entry', entryId(i), i, {});
   const signal = (id: string, name: NodeJS.Signals) =>
     processes.get(id)?.child.kill(name);
 
   await Promise.all([
     ...services.map((_, i) => startAgent(i)),
+    ...engines.map((_, i) => startEngineAgent(i)),
     ...Array.from({length: sizes.entries}, (_, i) => startEntry(i)),
   ]);
   const entryUrl = (i: number) =>
@@ -108,18 +140,20 @@
   await waitFor('entries have records', async () =>
     (await revisions()).every(({revision}) => revision > 0),
   );
+  const agentCount = services.length + engines.length;
   await waitFor('links are up', async () => {
     const texts = await Promise.all(
       entryUrls.map(async url => (await fetch(`${url}/metrics`)).text()),
     );
     return texts.every(text =>
-      new RegExp(`figfall_links\\{[^}]*\\} ${sizes.services}$`, 'm').test(text),
+      new RegExp(`figfall_links\\{[^}]*\\} ${agentCount}$`, 'm').test(text),
     );
   });
 
   return {
     platform,
     services,
+    engineUrls,
     entryUrls,
     revisions,
     /** Process ids by node. */
@@ -136,6 +170,7 @@
       await Promise.all([...processes.values()].map(p => p.kill()));
       await Promise.all([
         platform.close(),
+        ...engines.map(engine => engine.kill()),
         ...services.map(service => service.close()),
       ]);
     },
--- a/playground/src/processes/start_process.ts
+++ b/playground/src/processes/start_process.ts
@@ -23,7 +23,8 @@
 
 /** Starts a process and waits until it prints its port. */
 export function startProcess(options: StartOptions): Promise<StartedProcess> {
-  const args = ['--import', 'tsx', options.file, ...options.args];
+  const loader = options.file.endsWith('.ts') ? ['--import', 'tsx'] : [];
+  const args = [...loader, options.file, ...options.args];
   const child = spawn(process.execPath, args, {
     env: {...process.env, ...options.env},
     stdio: ['ignore', 'pipe', 'inherit'],
