feat(agent): health and metrics over HTTP; leaving by the platform's list

Cause: agents counted metrics that nobody could read, and an instance that the platform's list shows as leaving still got work. Change: the agent serves /healthz, /readyz and /metrics; entries leave out listed agents, and an agent that finds itself listed as leaving shuts its door. figfall dev serves on port 8080 unless told otherwise. Measured: the new test passes; without the change its wait does not end.

--- a/packages/cli/src/commands/agent_command.ts
+++ b/packages/cli/src/commands/agent_command.ts
@@ -7,6 +7,7 @@
   'backendUrl',
   'linkHost',
   'linkPort',
+  'metricsPort',
   'ledgerWritesPerSecond',
   'keyRetentionMs',
   'weightStoreLoads',
--- a/packages/cli/src/settings/setting_table.ts
+++ b/packages/cli/src/settings/setting_table.ts
@@ -135,6 +135,13 @@
     fallback: '7100',
     parse: PORT,
   }),
+  metricsPort: setting({
+    flag: 'metrics-port',
+    env: 'FIGFALL_METRICS_PORT',
+    help: 'port of /healthz, /readyz and /metrics; 0 chooses one',
+    fallback: '7101',
+    parse: PORT,
+  }),
   backendServer: setting({
     flag: 'backend-server',
     env: 'FIGFALL_BACKEND_SERVER',
--- a/packages/figfall/src/agent/agent_core.ts
+++ b/packages/figfall/src/agent/agent_core.ts
@@ -41,6 +41,11 @@
   ) => void;
 };
 
+/** True where the platform's list says that a node is leaving. */
+function isListedLeaving(instances: readonly Instance[], id: string): boolean {
+  return instances.some(node => node.id === id && node.state === 'leaving');
+}
+
 /** The state of an agent; only the agent's task calls it. */
 export class AgentCore {
   private readonly links = new LinkTable();
@@ -105,6 +110,11 @@
     return this.calls.all().some(({record}) => record.status !== 'ended');
   }
 
+  /** True once the agent takes work, unless it is leaving. */
+  isReady(): boolean {
+    return ['cold', 'serving'].includes(this.reporter.phase());
+  }
+
   instanceList(): readonly Instance[] {
     return this.instances;
   }
@@ -134,6 +144,7 @@
     },
     instances: ({instances}) => {
       this.instances = instances;
+      this.leaving ||= isListedLeaving(instances, this.options.settings.id);
       this.refresh();
     },
     load: ({load}) => this.onLoad(load),
--- a/packages/figfall/src/agent/agent_settings.ts
+++ b/packages/figfall/src/agent/agent_settings.ts
@@ -9,6 +9,8 @@
   readonly linkHost: string;
   /** 0 chooses a free port. */
   readonly linkPort: number;
+  /** Port of health and metrics; 0 chooses a free port. */
+  readonly metricsPort: number;
   /** Writes of the claim ledger a second. */
   readonly ledgerWritesPerSecond: number;
   /** Milliseconds for which idempotency keys are remembered. */
--- a/packages/figfall/src/agent/create_agent.ts
+++ b/packages/figfall/src/agent/create_agent.ts
@@ -12,6 +12,7 @@
 import type {AgentSettings} from './agent_settings.js';
 import {CallRunner} from './call_runner.js';
 import {ClaimLedger} from './claim_ledger.js';
+import {createAgentHttp} from './create_agent_http.js';
 import {GuardedRuns} from './guarded_runs.js';
 import {LedgerSweeper} from './ledger_sweeper.js';
 import {OrderDesk} from './order_desk.js';
@@ -20,6 +21,8 @@
 interface Agent {
   /** Port on which entries link to the agent. */
   readonly linkPort: number;
+  /** Port on which health and metrics are served. */
+  readonly metricsPort: number;
   /** Takes no new work and resolves once running work has ended. */
   readonly drain: () => Promise<void>;
 }
@@ -79,6 +82,12 @@
       port: settings.linkPort,
       onEvent: event => task.send({type: 'link', event}),
     });
+    const http = yield* createAgentHttp({
+      host: settings.linkHost,
+      port: settings.metricsPort,
+      isReady: () => core.isReady(),
+      metrics: () => context.metrics.registry.metrics(),
+    });
     yield* repeatEvery(AGENT.TICK_MS, () => task.send({type: 'tick'}));
     yield* repeatEvery(AGENT.FATE_MS / 10, () => {
       guarded.tick();
@@ -92,9 +101,11 @@
       const kind = core.backendKind();
       if (kind) void runner.readLoad(kind);
     });
-    logger.info('agent started', {port: server.port});
+    const {port} = server;
+    logger.info('agent started', {port, metricsPort: http.port});
     return {
-      linkPort: server.port,
+      linkPort: port,
+      metricsPort: http.port,
       drain: () => {
         task.send({type: 'leave'});
         return waitUntil(() => !core.isBusy(), settings.shutdownMs);
--- a/packages/figfall/src/entry/agent_views.ts
+++ b/packages/figfall/src/entry/agent_views.ts
@@ -4,9 +4,18 @@
 /** An entry's estimates of the agents that it is linked to. */
 export class AgentViews {
   private readonly views = new Map<string, AgentView>();
+  private leaving: ReadonlySet<string> = new Set();
 
+  /** Agents that the platform's list does not show as leaving. */
   all(): AgentView[] {
-    return [...this.views.values()];
+    return [...this.views.values()].filter(
+      ({report}) => !this.leaving.has(report.agentId),
+    );
+  }
+
+  /** Learns which agents the platform's list shows as leaving. */
+  setLeaving(agentIds: readonly string[]): void {
+    this.leaving = new Set(agentIds);
   }
 
   find(agentId: string): AgentView | undefined {
--- a/packages/figfall/src/entry/entry_core.ts
+++ b/packages/figfall/src/entry/entry_core.ts
@@ -96,6 +96,8 @@
     entries: ({entries}) => this.replica.merge(entries),
     instances: ({instances}) => {
       this.instances = instances;
+      const leaving = instances.filter(({state}) => state === 'leaving');
+      this.views.setLeaving(leaving.map(({id}) => id));
       this.desk.setInstances(instances);
       this.plan();
     },
--- a/playground/src/__tests__/leaving.test.ts
+++ b/playground/src/__tests__/leaving.test.ts
@@ -112,3 +112,20 @@
       return (await callers[1].complete({prompt})).complete;
     });
   }));
+
+test('a backend server listed as leaving gets nothing new', () =>
+  withDeployment({engine: ENGINE, services: 0}, async subject => {
+    const {deployment, callers} = subject;
+    const [engine] = deployment.engines;
+    deployment.agents[0].listAsLeaving();
+    await waitFor('it gets nothing new', async () => {
+      const before = engine.figures.generations;
+      const answers = await Promise.all(
+        Array.from({length: 12}, (_, i) =>
+          callers[i % 2].complete({prompt: makePrompt(100, `leave ${i}`)}),
+        ),
+      );
+      expect(answers.every(({complete}) => complete)).toEqual(true);
+      return engine.figures.generations === before;
+    });
+  }));
--- a/playground/src/demo/run_dev.ts
+++ b/playground/src/demo/run_dev.ts
@@ -16,6 +16,9 @@
 
 const SETTLE_MS = 1_500;
 
+/** Port of the first entry of `figfall dev`. */
+const DEV_PORT = 8_080;
+
 function targetOf(deployment: Deployment): DemoTarget {
   const {engines, entries, services, platform, options} = deployment;
   return {
@@ -57,7 +60,7 @@
   const isDemo = flags.demo === true;
   const overrides: DeploymentOptions = {
     ...DEMO_OPTIONS,
-    httpPort: isDemo ? 0 : Number(flags['http-port'] ?? 0),
+    httpPort: isDemo ? 0 : Number(flags['http-port'] ?? DEV_PORT),
     logLevel: (flags['log-level'] ?? 'warn') as DeploymentOptions['logLevel'],
     traceExporter: (flags['trace-exporter'] ??
       'none') as DeploymentOptions['traceExporter'],
--- a/playground/src/deployment/agent_unit.ts
+++ b/playground/src/deployment/agent_unit.ts
@@ -41,6 +41,14 @@
     this.running = undefined;
   }
 
+  /** Shows the agent as leaving in the platform's list. */
+  listAsLeaving(): void {
+    const {platform, settings} = this;
+    const listed = platform.instances.current();
+    const own = listed.find(({id}) => id === settings.id);
+    if (own) platform.instances.set({...own, state: 'leaving'});
+  }
+
   /** Ends the agent and its relay for good. */
   async close(): Promise<void> {
     await this.kill();
--- a/playground/src/deployment/start_deployment.ts
+++ b/playground/src/deployment/start_deployment.ts
@@ -48,6 +48,7 @@
     backendUrl: server.url,
     linkHost: '127.0.0.1',
     linkPort: 0,
+    metricsPort: 0,
     ledgerWritesPerSecond: 100,
     keyRetentionMs: DAY_MS,
     weightStoreLoads: 4,
--- a/playground/src/processes/run_processes.ts
+++ b/playground/src/processes/run_processes.ts
@@ -58,6 +58,7 @@
       FIGFALL_LINK_KEY: 'playground-link-key',
       FIGFALL_LOG_LEVEL: 'warn',
       FIGFALL_LINK_PORT: '0',
+      FIGFALL_METRICS_PORT: '0',
       FIGFALL_HTTP_PORT: '0',
       ...env,
     },
--- a/playground/src/processes/start_fleet.ts
+++ b/playground/src/processes/start_fleet.ts
@@ -86,6 +86,7 @@
         FIGFALL_LINK_KEY: 'playground-link-key',
         FIGFALL_LOG_LEVEL: 'error',
         FIGFALL_LINK_PORT: '0',
+        FIGFALL_METRICS_PORT: '0',
         FIGFALL_HTTP_PORT: '0',
         ...env,
       },
