refactor: handshake and reservations in files of their own

Change: link_handshake and reservation_desk take those parts; messages about calls go straight to the call desk.

--- a/packages/figfall/src/agent/agent_core.ts
+++ b/packages/figfall/src/agent/agent_core.ts
@@ -2,6 +2,7 @@
 import type {EngineLoad} from '@figfall/model-engine';
 import type {LinkEvent, PeerMessage} from '@figfall/node-link';
 import {ConfigReplica} from '../node/config_replica.js';
+import {isListedLeaving} from '../node/is_listed_leaving.js';
 import {LinkTable} from '../node/link_table.js';
 import type {NodeContext} from '../node/node_context.js';
 import {RevisionBoard} from '../node/revision_board.js';
@@ -18,6 +19,7 @@
 import {EngineReconciler} from './engine_reconciler.js';
 import {OpenDesk} from './open_desk.js';
 import type {OrderDesk} from './order_desk.js';
+import {ReservationDesk} from './reservation_desk.js';
 
 interface AgentCoreOptions {
   readonly context: NodeContext;
@@ -26,9 +28,11 @@
   readonly orders: OrderDesk;
 }
 
+type NodeMessage = Exclude<AgentMessage, {readonly callId: string}>;
+
 type Handlers = {
-  readonly [Type in AgentMessage['type']]: (
-    message: Extract<AgentMessage, {readonly type: Type}>,
+  readonly [Type in NodeMessage['type']]: (
+    message: Extract<NodeMessage, {readonly type: Type}>,
   ) => void;
 };
 
@@ -41,22 +45,16 @@
   ) => void;
 };
 
-/** True where the platform's list says that a node is leaving. */
-function isListedLeaving(instances: readonly Instance[], id: string): boolean {
-  return instances.some(node => node.id === id && node.state === 'leaving');
-}
-
 /** The state of an agent; only the agent's task calls it. */
 export class AgentCore {
   private readonly links = new LinkTable();
   private readonly board = new RevisionBoard();
-  /** Link of the entry that asked for each reservation. */
-  private readonly reservers = new Map<string, string>();
   private readonly replica: ConfigReplica;
   private readonly calls: AgentCallTable;
   private readonly door: AgentDoor;
   private readonly offers: OpenDesk;
   private readonly desk: CallDesk;
+  private readonly reservations: ReservationDesk;
   private readonly reporter: AgentReporter;
   private readonly reconciler: EngineReconciler;
   private instances: readonly Instance[] = [];
@@ -80,6 +78,8 @@
     const {calls, replica} = this;
     this.offers = new OpenDesk({calls, door, replica});
     this.desk = new CallDesk({context, calls, door, runner});
+    const {engine} = runner;
+    this.reservations = new ReservationDesk({door, links, engine});
     this.reconciler = new EngineReconciler({
       logger: context.logger,
       engine: runner.engine,
@@ -99,8 +99,9 @@
   }
 
   handle(message: AgentMessage): void {
+    if ('callId' in message) return this.desk.handle(message);
     const handler = this.handlers[message.type] as (
-      message: AgentMessage,
+      message: NodeMessage,
     ) => void;
     handler(message);
   }
@@ -148,12 +149,6 @@
       this.refresh();
     },
     load: ({load}) => this.onLoad(load),
-    engine: message => this.desk.handle(message),
-    lost: message => this.desk.handle(message),
-    'segment-done': message => this.desk.handle(message),
-    'service-done': message => this.desk.handle(message),
-    'known-outcome': message => this.desk.handle(message),
-    'not-claimed': message => this.desk.handle(message),
     tick: () => this.onTick(),
     leave: () => {
       this.leaving = true;
@@ -169,11 +164,7 @@
     },
     attach: ({callId, from}, {link}) => this.calls.attach(link, callId, from),
     cancel: ({callId}) => this.desk.cancel(callId),
-    reserve: ({reservationId, tokens, ttlMs}, {link}) => {
-      this.reservers.set(reservationId, link.linkId);
-      const expiresAt = Date.now() + ttlMs;
-      this.door.step({type: 'reserve', reservationId, tokens, expiresAt});
-    },
+    reserve: (message, {link}) => this.reservations.reserve(message, link),
     release: ({reservationId}) =>
       this.door.step({type: 'release', reservationId}),
     suspect: ({fingerprint, crashes}, {link}) => {
@@ -205,15 +196,8 @@
   }
 
   private execute(command: DoorCommand): void {
-    if ('callId' in command) return this.desk.execute(command);
-    const {reservationId} = command;
-    const linkId = this.reservers.get(reservationId) ?? '';
-    if (command.type !== 'reservation-ended') {
-      this.links.find(linkId)?.send(reservationId, command);
-      return;
-    }
-    this.reservers.delete(reservationId);
-    void this.options.runner.engine.cancel(reservationId);
+    if ('callId' in command) this.desk.execute(command);
+    else this.reservations.execute(command);
   }
 
   private condition() {
