--- a/packages/decisions/src/placement/assign_models.ts
+++ b/packages/decisions/src/placement/assign_models.ts
@@ -23,10 +23,12 @@
   ranked: readonly string[],
   zoneOf: ReadonlyMap<string, string>,
 ): string[] {
-  const turns = ranked.map((id, i) => {
-    const zone = zoneOf.get(id);
-    const earlier = ranked.slice(0, i).filter(x => zoneOf.get(x) === zone);
-    return {id, turn: earlier.length};
+  const counts = new Map<string, number>();
+  const turns = ranked.map(id => {
+    const zone = zoneOf.get(id) ?? '';
+    const turn = counts.get(zone) ?? 0;
+    counts.set(zone, turn + 1);
+    return {id, turn};
   });
   return turns.sort((a, b) => a.turn - b.turn).map(({id}) => id);
 }
@@ -43,21 +45,18 @@
 ): Assignment {
   const zoneOf = new Map(servers.map(server => [server.id, server.zone]));
   const ids = servers.map(server => server.id);
-  const start = new Map<string, readonly string[]>(ids.map(id => [id, []]));
   const slotsOf = new Map(servers.map(server => [server.id, server.slots]));
-  return [...demands]
+  const assigned = new Map(ids.map(id => [id, [] as string[]]));
+  const hasSlot = (id: string) =>
+    (assigned.get(id)?.length ?? 0) < (slotsOf.get(id) ?? 0);
+  [...demands]
     .sort((a, b) => (a.model < b.model ? -1 : 1))
-    .reduce<Assignment>((assigned, demand) => {
-      const hasSlot = (id: string) =>
-        (assigned.get(id)?.length ?? 0) < (slotsOf.get(id) ?? 0);
-      const ranked = rankByRendezvous(demand.model, ids, hash);
-      const chosen = spreadZones(ranked, zoneOf)
+    .forEach(({model, replicas}) => {
+      const ranked = rankByRendezvous(model, ids, hash);
+      spreadZones(ranked, zoneOf)
         .filter(hasSlot)
-        .slice(0, demand.replicas);
-      return chosen.reduce<Assignment>(
-        (map, id) =>
-          new Map(map).set(id, [...(map.get(id) ?? []), demand.model]),
-        assigned,
-      );
-    }, start);
+        .slice(0, replicas)
+        .forEach(id => assigned.get(id)?.push(model));
+    });
+  return assigned;
 }
--- a/packages/figfall/src/agent/agent_constants.ts
+++ b/packages/figfall/src/agent/agent_constants.ts
@@ -8,6 +8,8 @@
   REPORT_MS: 5_000,
   /** Least milliseconds between two reports. */
   REPORT_MIN_MS: 100,
+  /** Milliseconds that each link adds to the least time between reports. */
+  REPORT_PER_LINK_MS: 20,
   /** Milliseconds between digests of the configuration. */
   DIGEST_MS: 4_000,
   /** Milliseconds for which the outcome of a call is kept. */
--- a/packages/figfall/src/agent/agent_reporter.ts
+++ b/packages/figfall/src/agent/agent_reporter.ts
@@ -65,10 +65,12 @@
     const {running, queued} = door().figures();
     metrics.running.set(running);
     metrics.queued.set(queued);
-    metrics.links.set(links.all().length);
     metrics.configRevision.set(this.options.revision());
+    const linkCount = links.all().length;
+    metrics.links.set(linkCount);
     const age = now - this.sentAt;
-    if (age < AGENT.REPORT_MIN_MS) return;
+    const leastMs = linkCount * AGENT.REPORT_PER_LINK_MS;
+    if (age < Math.max(AGENT.REPORT_MIN_MS, leastMs)) return;
     const report = this.report();
     const text = JSON.stringify(report);
     if (text === this.sentText && age < AGENT.REPORT_MS) return;
