--- a/packages/node-link/src/__tests__/link_session.test.ts
+++ b/packages/node-link/src/__tests__/link_session.test.ts
@@ -12,6 +12,7 @@
     node: {id, incarnation: 'i', role: 'agent'} as const,
     nonce: `nonce-${id}`,
     sign: (text: string) => `${key}:${text}`,
+    isSigned: (text: string, mac: string) => mac === `${key}:${text}`,
     heartbeatMs: 100,
     silenceMs: 300,
     handshakeMs: 200,
--- a/packages/node-link/src/session/link_handshake.ts
+++ b/packages/node-link/src/session/link_handshake.ts
@@ -66,8 +66,8 @@
   if (state.phase !== 'proving' || !peer || !peerNonce) {
     return close(state, 'proof out of order');
   }
-  const expected = options.sign(proofText(peer.id, peerNonce, state.nonce));
-  if (frame.mac !== expected) {
+  const text = proofText(peer.id, peerNonce, state.nonce);
+  if (!options.isSigned(text, frame.mac)) {
     return close(state, 'the peer has another link key');
   }
   return {state: {...state, phase: 'up'}, commands: [{type: 'up', peer}]};
--- a/packages/node-link/src/session/link_session_options.ts
+++ b/packages/node-link/src/session/link_session_options.ts
@@ -7,6 +7,8 @@
   readonly nonce: string;
   /** Returns the keyed hash of a text under the shared key. */
   readonly sign: (text: string) => string;
+  /** Compares a keyed hash in constant time. */
+  readonly isSigned: (text: string, mac: string) => boolean;
   readonly heartbeatMs: number;
   readonly silenceMs: number;
   readonly handshakeMs: number;
--- a/packages/node-link/src/transport/create_link.ts
+++ b/packages/node-link/src/transport/create_link.ts
@@ -1,4 +1,4 @@
-import {createHmac, randomBytes} from 'node:crypto';
+import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
 import type {Socket} from 'node:net';
 import {frameCodec} from '../codec/frame_codec.js';
 import {LINK} from '../constants.js';
@@ -19,11 +19,19 @@
   options: LinkOptions,
   onEvent: (event: LinkEvent) => void,
 ): Link {
+  const sign = (text: string) =>
+    createHmac('sha256', options.key).update(text).digest('hex');
   const sessionOptions = {
     node: options.node,
     nonce: randomBytes(NONCE_BYTES).toString('hex'),
-    sign: (text: string) =>
-      createHmac('sha256', options.key).update(text).digest('hex'),
+    sign,
+    isSigned: (text: string, mac: string) => {
+      const expected = Buffer.from(sign(text));
+      const given = Buffer.from(mac);
+      return (
+        expected.length === given.length && timingSafeEqual(expected, given)
+      );
+    },
     heartbeatMs: options.heartbeatMs ?? LINK.HEARTBEAT_MS,
     silenceMs: options.silenceMs ?? LINK.SILENCE_MS,
     handshakeMs: LINK.HANDSHAKE_MS,
