feat: a span for the backend's call; orders wait for lagging reports

Cause: no test loaded a model through an order; writing one showed that a second order could follow the first, because load reports lag behind it. Change: a second passes before the next order; the call of the backend server has a span of its own; overhead reports CPU and memory under load.

--- a/bench/src/scenarios/overhead.ts
+++ b/bench/src/scenarios/overhead.ts
@@ -3,12 +3,14 @@
 import {atMost} from '../results/at_most.js';
 import type {BenchRow} from '../results/bench_row.js';
 import {findValue} from '../results/find_value.js';
+import {processUsage} from '../results/process_usage.js';
 import {quantileRows} from '../results/quantile_rows.js';
 import type {Scenario} from './scenario.js';
 
 const STREAMS = [1, 200] as const;
 const REQUESTS = {1: 60, 200: 400} as const;
 const ENGINES = 4;
+const MS_PER_SECOND = 1_000;
 const WARM_REQUESTS = 600;
 const PROMPT_TOKENS = 1_000;
 const MAX_TOKENS = 10;
@@ -56,6 +58,42 @@
   return results;
 }
 
+type NodeUsage = ReturnType<typeof processUsage> & {
+  readonly id: string;
+  readonly at: number;
+};
+
+/** CPU and memory of entries and agents while they are loaded. */
+function loadRows(
+  policy: string,
+  before: readonly NodeUsage[],
+  after: readonly NodeUsage[],
+): BenchRow[] {
+  return (['entry', 'agent'] as const).flatMap(role => {
+    const own = after.filter(({id}) => id.startsWith(role));
+    const shares = own.map(({id, at, cpuSeconds}) => {
+      const start = before.find(node => node.id === id);
+      const seconds = (at - (start?.at ?? at)) / MS_PER_SECOND;
+      return ((cpuSeconds - (start?.cpuSeconds ?? 0)) / seconds) * 100;
+    });
+    const memory = Math.max(...own.map(({residentMb}) => residentMb));
+    return [
+      {
+        policy,
+        metric: `${role} CPU loaded, largest`,
+        value: Math.max(...shares),
+        unit: '% of a core',
+      },
+      {
+        policy,
+        metric: `${role} resident memory loaded`,
+        value: memory,
+        unit: 'MB',
+      },
+    ];
+  });
+}
+
 /** Time that figfall adds to tokens, against the engine directly. */
 export const overhead: Scenario = {
   summary: 'added time to first token and between tokens, 1 and 200 streams',
@@ -76,6 +114,10 @@
         maxTokens: 2,
       }),
     );
+    const usages = () =>
+      fleet
+        .pids()
+        .map(({id, pid}) => ({id, at: Date.now(), ...processUsage(pid)}));
     const rows: BenchRow[] = [];
     for (const width of STREAMS) {
       note(`${width} streams`);
@@ -85,6 +127,7 @@
           makePrompt(PROMPT_TOKENS, `direct ${width} ${i}`),
         ),
       );
+      const before = usages();
       const through = await inParallel(REQUESTS[width], width, async i => {
         const prompt = makePrompt(PROMPT_TOKENS, `through ${width} ${i}`);
         const caller = callers[i % callers.length];
@@ -93,6 +136,7 @@
         const rest = answer.totalMs - firstTokenMs;
         return {firstTokenMs, betweenMs: rest / (MAX_TOKENS - 1)};
       });
+      rows.push(...loadRows(`figfall ${width}`, before, usages()));
       [
         {policy: `direct ${width}`, samples: plain},
         {policy: `figfall ${width}`, samples: through},
--- a/bench/src/scenarios/slopes.ts
+++ b/bench/src/scenarios/slopes.ts
@@ -1,7 +1,7 @@
-import {readFileSync} from 'node:fs';
 import {sleep, startFleet} from '@figfall/playground';
 import {atMost} from '../results/at_most.js';
 import type {BenchRow} from '../results/bench_row.js';
+import {processUsage} from '../results/process_usage.js';
 import type {Scenario} from './scenario.js';
 
 const AGENTS = [3, 8, 16] as const;
@@ -9,8 +9,6 @@
 const IDLE_MS = 6_000;
 const SETTLE_MS = 9_000;
 const MS_PER_SECOND = 1_000;
-/** Unit of CPU time in the process table of the system. */
-const TICKS_PER_SECOND = 100;
 const BYTES_PER_KB = 1_024;
 const CPU_BOUND = 2.2;
 const MEMORY_BOUND_MB = 128;
@@ -18,23 +16,6 @@
 
 type Fleet = Awaited<ReturnType<typeof startFleet>>;
 
-interface Usage {
-  readonly cpuSeconds: number;
-  readonly residentMb: number;
-}
-
-function usageOf(pid: number): Usage {
-  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  const ticks = Number(fields[11]) + Number(fields[12]);
-  const status = readFileSync(`/proc/${pid}/status`, 'utf8');
-  const kb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
-  return {
-    cpuSeconds: ticks / TICKS_PER_SECOND,
-    residentMb: kb / BYTES_PER_KB,
-  };
-}
-
 async function linkBytes(url: string): Promise<number> {
   const text = await (await fetch(`${url}/metrics`)).text();
   return [...text.matchAll(/^figfall_link_bytes\{[^}]*\} (\d+)$/gm)]
@@ -45,7 +26,7 @@
 /** Figures of an idle fleet, per role, over a time. */
 async function measure(fleet: Fleet, policy: string): Promise<BenchRow[]> {
   await sleep(SETTLE_MS);
-  const before = fleet.pids().map(({id, pid}) => ({id, ...usageOf(pid)}));
+  const before = fleet.pids().map(({id, pid}) => ({id, ...processUsage(pid)}));
   const bytesBefore = await linkBytes(fleet.entryUrls[0]);
   const calls = () => {
     const {reads, writes, watches} = fleet.platform.counts;
@@ -55,7 +36,7 @@
   await sleep(IDLE_MS);
   const seconds = IDLE_MS / MS_PER_SECOND;
   const bytes = (await linkBytes(fleet.entryUrls[0])) - bytesBefore;
-  const after = fleet.pids().map(({id, pid}) => ({id, ...usageOf(pid)}));
+  const after = fleet.pids().map(({id, pid}) => ({id, ...processUsage(pid)}));
   const roleRows = (['entry', 'agent'] as const).flatMap(role => {
     const own = after.filter(({id}) => id.startsWith(role));
     const cpu = own.map(({id, cpuSeconds}) => {
--- a/packages/figfall/src/agent/agent_core.ts
+++ b/packages/figfall/src/agent/agent_core.ts
@@ -120,19 +120,8 @@
     return this.instances;
   }
 
-  /** Service of the backend server, where it is a plain service. */
-  service(): string | undefined {
-    const server = this.record();
-    if (server?.kind !== 'plain-service') return undefined;
-    return server.service ?? server.name;
-  }
-
-  /** Kind of the backend server, once a record declares it. */
-  backendKind() {
-    return this.record()?.kind;
-  }
-
-  private record() {
+  /** Record of the backend server, once there is one. */
+  record() {
     const {backendServer} = this.options.settings;
     return this.replica.view().find('backend-server', backendServer);
   }
--- a/packages/figfall/src/agent/call_runner.ts
+++ b/packages/figfall/src/agent/call_runner.ts
@@ -16,7 +16,8 @@
   readonly task: () => Task<AgentMessage>;
 }
 
-type Start = (call: AgentCall) => Promise<void>;
+/** Runs a call under the trace context of its span. */
+type Start = (call: AgentCall, traceparent: string) => Promise<void>;
 
 /** Runs calls on the backend server and tells the agent's task of them. */
 export class CallRunner {
@@ -24,10 +25,10 @@
   private readonly service;
 
   private readonly starts: Record<AgentCall['open']['kind'], Start> = {
-    completion: call => this.generate(call, 'completion'),
-    chat: call => this.generate(call, 'chat'),
+    completion: (call, trace) => this.generate(call, 'completion', trace),
+    chat: (call, trace) => this.generate(call, 'chat', trace),
     segment: call => this.prefillSegment(call),
-    service: call => this.callService(call),
+    service: (call, trace) => this.callService(call, trace),
   };
 
   constructor(private readonly options: CallRunnerOptions) {
@@ -43,11 +44,16 @@
   /** Starts a call whose body has come whole. */
   start(call: AgentCall): void {
     call.started = true;
-    this.starts[call.open.kind](call).catch((error: Error) =>
-      this.options.context.logger.error(error.message, {
-        callId: call.open.callId,
-      }),
-    );
+    const {tracing, logger} = this.options.context;
+    const span = tracing.start({
+      name: 'backend.call',
+      traceparent: tracing.contextOf(call.span),
+    });
+    this.starts[call.open.kind](call, tracing.contextOf(span))
+      .catch((error: Error) =>
+        logger.error(error.message, {callId: call.open.callId}),
+      )
+      .finally(() => span.end());
   }
 
   /** Reads the backend server's load and reports it to the agent's task. */
@@ -71,13 +77,10 @@
     task.send({type: 'load', load: isHealthy ? load : undefined});
   }
 
-  private traceOf(call: AgentCall): string {
-    return this.options.context.tracing.contextOf(call.span);
-  }
-
   private async generate(
     call: AgentCall,
     kind: 'completion' | 'chat',
+    traceparent: string,
   ): Promise<void> {
     const {open} = call;
     const events = this.engine.generate({
@@ -89,7 +92,7 @@
       resumeIndex: open.resumeIndex,
       resumeText: open.resumeText,
       carry: open.carry,
-      traceparent: this.traceOf(call),
+      traceparent,
       signal: call.abort.signal,
     });
     for await (const event of events) {
@@ -132,7 +135,7 @@
       );
   }
 
-  private async send(call: AgentCall) {
+  private async send(call: AgentCall, traceparent: string) {
     const {open} = call;
     const answer = await this.service.send({
       method: open.http?.method ?? 'POST',
@@ -141,17 +144,20 @@
       body: Buffer.concat(call.chunks),
       key: open.key?.key,
       timeoutMs: Math.max(1, call.deadlineAt - Date.now()),
-      traceparent: this.traceOf(call),
+      traceparent,
     });
     return answer.isOk()
       ? ({type: 'ran', response: answer.value} as const)
       : ({type: 'lost', failure: answer.error} as const);
   }
 
-  private async callService(call: AgentCall): Promise<void> {
+  private async callService(
+    call: AgentCall,
+    traceparent: string,
+  ): Promise<void> {
     const {open} = call;
     const {callId, key} = open;
-    const send = () => this.send(call);
+    const send = () => this.send(call, traceparent);
     const result =
       open.idempotent || !key
         ? await send()
--- a/packages/figfall/src/agent/create_agent.ts
+++ b/packages/figfall/src/agent/create_agent.ts
@@ -94,12 +94,13 @@
       ledger.forgetIdle(Date.now());
     });
     yield* repeatEvery(AGENT.SWEEP_MS, () => {
-      const service = core.service();
-      if (service) void sweeper.sweep(service, Date.now());
+      const server = core.record();
+      if (server?.kind !== 'plain-service') return;
+      void sweeper.sweep(server.service ?? server.name, Date.now());
     });
     yield* repeatEvery(AGENT.LOAD_MS, () => {
-      const kind = core.backendKind();
-      if (kind) void runner.readLoad(kind);
+      const server = core.record();
+      if (server) void runner.readLoad(server.kind);
     });
     const {port} = server;
     logger.info('agent started', {port, metricsPort: http.port});
--- a/packages/figfall/src/agent/order_desk.ts
+++ b/packages/figfall/src/agent/order_desk.ts
@@ -25,6 +25,8 @@
   readonly holder: string;
 }
 
+/** Milliseconds by which load reports may lag behind an order. */
+const REPORT_LAG_MS = 1_000;
 const LEASE_MS = 5_000;
 const ORDER_MS = 120_000;
 const PERMIT_MS = 120_000;
@@ -33,6 +35,8 @@
 export class OrderDesk {
   private lease = orderLease.create();
   private isOrdering = false;
+  /** Time until which load reports may still show the state before. */
+  private notBefore = 0;
   /** Last assignment, kept while records and members stay the same. */
   private assigned?: {
     readonly revision: number;
@@ -51,7 +55,7 @@
 
   /** Starts the next order, if the engine does not hold what it should. */
   tick(holdings: Holdings): void {
-    if (this.isOrdering) return;
+    if (this.isOrdering || Date.now() < this.notBefore) return;
     const wanted = this.wantedModels(holdings);
     const missing = wanted.find(name => !holdings.models.includes(name));
     const surplus = holdings.models.find(name => !wanted.includes(name));
@@ -66,6 +70,7 @@
       .catch((error: Error) => this.options.context.logger.warn(error.message))
       .finally(() => {
         this.isOrdering = false;
+        this.notBefore = Date.now() + REPORT_LAG_MS;
       });
   }
 
--- /dev/null
+++ b/playground/src/__tests__/placement.test.ts
@@ -0,0 +1,36 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {waitFor} from '../deployment/wait_for.js';
+import {startWeightStore} from '../weights/start_weight_store.js';
+import {withDeployment} from './with_deployment.js';
+
+const LOADS_AT_ONCE = 4;
+
+test('agents load placed models within the rate of the weight store', async () => {
+  const store = await startWeightStore({limit: LOADS_AT_ONCE, loadMs: 50});
+  try {
+    await withDeployment(
+      {
+        engines: 8,
+        services: 0,
+        engine: {models: []},
+        weights: `${store.baseUrl}/log-summary`,
+      },
+      async ({deployment}) => {
+        const {engines} = deployment;
+        await waitFor('all engines hold the model', () =>
+          engines.every(({load}) => load().models.length === 1),
+        );
+        engines.forEach(({orders}) => {
+          expect(orders.map(({action}) => action)).toEqual(['load']);
+          expect(orders[0].fencingNumber >= 1).toEqual(true);
+        });
+        expect(store.figures.refused).toEqual(0);
+        expect(store.figures.maxAtOnce <= LOADS_AT_ONCE).toEqual(true);
+        expect(store.figures.loads).toEqual(engines.length);
+      },
+    );
+  } finally {
+    await store.close();
+  }
+});
--- a/playground/src/deployment/deployment_options.ts
+++ b/playground/src/deployment/deployment_options.ts
@@ -17,6 +17,8 @@
   /** @default ['lindenau'] */
   readonly workspaces?: readonly string[];
   readonly engine?: Partial<EngineOptions>;
+  /** Where the weights of the model are. @default a plain name */
+  readonly weights?: string;
   readonly platform?: Partial<PlatformFaults>;
   /** Requests that an engine bears, warm and cold. */
   readonly running?: number;
--- a/playground/src/deployment/deployment_records.ts
+++ b/playground/src/deployment/deployment_records.ts
@@ -71,7 +71,7 @@
       schemaVersion: 1,
       name: 'log-summary',
       version: '1',
-      weights: 'weights/log-summary/1',
+      weights: options.weights,
     },
     {
       kind: 'placement',
--- a/playground/src/deployment/resolve_deployment.ts
+++ b/playground/src/deployment/resolve_deployment.ts
@@ -13,6 +13,7 @@
     entries: 2,
     workspaces: ['lindenau'],
     engine: {},
+    weights: 'weights/log-summary/1',
     platform: {},
     running: 16,
     coldRunning: 2,
