--- a/playground/src/processes/start_fleet.ts
+++ b/playground/src/processes/start_fleet.ts
@@ -25,16 +25,18 @@
 const REVISION = /^figfall_(?:agent_)?config_revision\{([^}]*)\} (\d+)$/gm;
 const AGENT_LABEL = /agent="([^"]+)"/;
 
-const STAND_IN = fileURLToPath(new URL('../stand_in_main.ts', import.meta.url));
-const SOURCE = fileURLToPath(
-  new URL('../../../packages/cli/src/bin.ts', import.meta.url),
-);
-const BUNDLE = fileURLToPath(
-  new URL('../../../dist/figfall.cjs', import.meta.url),
-);
+/** Path of a file beside this one; the single binary has no such files. */
+function pathOf(relative: string): string {
+  return fileURLToPath(new URL(relative, import.meta.url));
+}
 
 /** The built program where there is one, else its source. */
-const FIGFALL = existsSync(BUNDLE) ? BUNDLE : SOURCE;
+function programPath(): string {
+  const bundle = pathOf('../../../dist/figfall.cjs');
+  return existsSync(bundle)
+    ? bundle
+    : pathOf('../../../packages/cli/src/bin.ts');
+}
 
 /**
  * Starts entries and agents of plain services as processes that can be
@@ -55,7 +57,7 @@
   const engines = await Promise.all(
     Array.from({length: options.engines}, () =>
       startProcess({
-        file: STAND_IN,
+        file: pathOf('../stand_in_main.ts'),
         args: [
           'engine',
           JSON.stringify({...options.engine, models: ['log-summary@1']}),
@@ -76,7 +78,7 @@
     const zone = zoneOf(i);
     const {region} = options;
     const started = await startProcess({
-      file: FIGFALL,
+      file: programPath(),
       args: [role],
       env: {
         FIGFALL_ID: id,
