refactor(task): one way to listen on a port

Cause: the callers' server, the agent's health server and the link server each wrote the same listening effect. Change: listenOn in the task package serves all three; nothing else differs.

--- a/packages/caller/src/server/create_caller_server.ts
+++ b/packages/caller/src/server/create_caller_server.ts
@@ -1,6 +1,6 @@
 import {createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {createFailure} from '@figfall/decisions';
+import {listenOn} from '@figfall/task';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 import {sendFailure} from '../answers/send_failure.js';
@@ -24,17 +24,15 @@
       else sendFailure(res, createFailure('internal-error', error.message));
     });
   });
-  const listen = Effect.callback<CallerServer, Error>(resume => {
-    server.once('error', error => resume(Effect.fail(error)));
-    server.listen(options.port, options.host, () => {
-      const {port} = server.address() as AddressInfo;
-      const stopListening = () => {
-        server.close();
-        server.closeIdleConnections();
-      };
-      resume(Effect.succeed({port, stopListening}));
-    });
-  });
+  const stopListening = () => {
+    server.close();
+    server.closeIdleConnections();
+  };
+  const {host, port} = options;
+  const listen = Effect.map(listenOn(server, host, port), bound => ({
+    port: bound,
+    stopListening,
+  }));
   const stop = Effect.sync(() => {
     server.close();
     server.closeAllConnections();
--- a/packages/figfall/src/agent/create_agent_http.ts
+++ b/packages/figfall/src/agent/create_agent_http.ts
@@ -1,6 +1,6 @@
 import {createServer} from 'node:http';
 import type {ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {listenOn} from '@figfall/task';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 
@@ -40,13 +40,10 @@
     if (!route) return sendText(res, 404, 'not found\n');
     route(res, options).catch(() => res.destroy());
   });
-  const listen = Effect.callback<AgentHttp, Error>(resume => {
-    server.once('error', error => resume(Effect.fail(error)));
-    server.listen(options.port, options.host, () => {
-      const {port} = server.address() as AddressInfo;
-      resume(Effect.succeed({port}));
-    });
-  });
+  const {host, port} = options;
+  const listen = Effect.map(listenOn(server, host, port), bound => ({
+    port: bound,
+  }));
   const stop = Effect.sync(() => {
     server.close();
     server.closeAllConnections();
--- a/packages/node-link/src/transport/create_link_server.ts
+++ b/packages/node-link/src/transport/create_link_server.ts
@@ -1,7 +1,7 @@
 import {createServer as createTcpServer} from 'node:net';
-import type {AddressInfo, Socket} from 'node:net';
+import type {Socket} from 'node:net';
 import {createServer as createTlsServer} from 'node:tls';
-import {repeatEvery} from '@figfall/task';
+import {listenOn, repeatEvery} from '@figfall/task';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 import {LINK} from '../constants.js';
@@ -44,13 +44,11 @@
     });
     links.add(link);
   });
-  const listen = Effect.callback<LinkServer, Error>(resume => {
-    server.once('error', error => resume(Effect.fail(error)));
-    server.listen(options.port, options.host, () => {
-      const {port} = server.address() as AddressInfo;
-      resume(Effect.succeed({port, links: () => [...links]}));
-    });
-  });
+  const {host, port} = options;
+  const listen = Effect.map(listenOn(server, host, port), bound => ({
+    port: bound,
+    links: () => [...links],
+  }));
   const stop = Effect.sync(() => {
     server.close();
     links.forEach(link => link.close('this node is stopping'));
--- a/packages/task/src/index.ts
+++ b/packages/task/src/index.ts
@@ -2,3 +2,4 @@
 export * from './repeat_every.js';
 export * from './run_scoped.js';
 export * from './task.js';
+export * from './listen_on.js';
