--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,7 +11,7 @@
 const CHILD_PROCESS = ['node:child_process', 'child_process'];
 
 export default [
-  {ignores: ['dist/', 'node_modules/']},
+  {ignores: ['dist/', 'target/', 'node_modules/']},
   ...gts,
   {
     files: ['**/*.ts'],
--- /dev/null
+++ b/packages/decisions/src/serving/candidate.ts
@@ -0,0 +1,12 @@
+import type {BackendServer} from './backend_server.js';
+import type {ServerLoad} from './server_load.js';
+
+/** A backend server that a request may be sent to. */
+export interface Candidate {
+  readonly server: BackendServer;
+  readonly load: ServerLoad;
+  /** Recent share of failed requests, from 0 to 1. */
+  readonly failureShare: number;
+  /** True while the server bears few requests. */
+  readonly isCold: boolean;
+}
--- /dev/null
+++ b/packages/decisions/src/serving/eligible_servers.ts
@@ -0,0 +1,54 @@
+import type {BackendServer} from './backend_server.js';
+import type {Candidate} from './candidate.js';
+import type {FleetLoad} from './fleet_load.js';
+import {fleetLoads} from './fleet_loads.js';
+import type {ServerHealth} from './server_health.js';
+import {serverHealths} from './server_healths.js';
+import type {ServingService} from './serving_service.js';
+
+/** Share of the declared cold rate that is used. */
+const COLD_SHARE = 0.8;
+
+interface Fleet {
+  readonly servers: readonly BackendServer[];
+  readonly load: FleetLoad;
+  readonly health: ReadonlyMap<string, ServerHealth>;
+  /** Availability zones that operators have taken out. */
+  readonly zonesOut: ReadonlySet<string>;
+}
+
+function mayStart(candidate: Candidate, service: ServingService): boolean {
+  if (!candidate.isCold || service.coldPerSecond === 0) return true;
+  return candidate.load.startedLately + 1 <= service.coldPerSecond * COLD_SHARE;
+}
+
+/**
+ * Lists the backend servers that a request may be sent to now. Servers that
+ * were out of reach a moment ago count only where there is no other.
+ */
+export function eligibleServers(
+  fleet: Fleet,
+  service: ServingService,
+  exclude: readonly string[],
+  now: number,
+): readonly Candidate[] {
+  const candidates = fleet.servers
+    .filter(({service: name}) => name === service.name)
+    .filter(({state}) => state === 'ready')
+    .filter(({zone}) => !fleet.zonesOut.has(zone))
+    .filter(({id}) => !exclude.includes(id))
+    .map(server => ({
+      server,
+      load: fleetLoads.of(fleet.load, server.id, now),
+      failureShare: serverHealths.failureShare(
+        fleet.health.get(server.id),
+        now,
+      ),
+      isCold: server.coldUntil > now,
+    }))
+    .filter(candidate => mayStart(candidate, service));
+  const reachable = candidates.filter(
+    ({server}) => (fleet.health.get(server.id)?.avoidUntil ?? 0) <= now,
+  );
+  return reachable.length > 0 ? reachable : candidates;
+}
--- /dev/null
+++ b/packages/decisions/src/serving/engine_time.ts
@@ -0,0 +1,20 @@
+import type {EngineProfile} from './engine_profile.js';
+
+const PAIRS_PER_MILLION = 1_000_000;
+
+/** Predicts how long a model engine takes, in milliseconds. */
+export const engineTime = {
+  /** Prefill of a whole prompt on one idle engine. */
+  prefillMs(profile: EngineProfile, promptTokens: number): number {
+    const pairs = (promptTokens * promptTokens) / 2;
+    const attentionMs =
+      (pairs / PAIRS_PER_MILLION) * profile.attentionMsPerMillionPairs;
+    return promptTokens / profile.prefillTokensPerMs + attentionMs;
+  },
+
+  /** Decoding part of one scheduling pass. */
+  passMs(profile: EngineProfile, decoding: number): number {
+    const stepMs = profile.stepMs + profile.sequenceStepMs * decoding;
+    return profile.stepsPerPass * stepMs;
+  },
+};
--- /dev/null
+++ b/packages/decisions/src/serving/fleet_loads.ts
@@ -0,0 +1,128 @@
+import {mapWith} from '../shared/map_with.js';
+import {mapWithout} from '../shared/map_without.js';
+import type {FleetLoad} from './fleet_load.js';
+import type {ServerLoad} from './server_load.js';
+import type {WorkChange} from './work_change.js';
+import type {WorkItem} from './work_item.js';
+
+/** Milliseconds after which work that nobody ended is forgotten. */
+const WORK_TTL_MS = 30_000;
+
+/** Milliseconds over which recent sends are counted. */
+const RECENT_MS = 1_000;
+
+const IDLE: ServerLoad = {
+  running: 0,
+  decoding: 0,
+  backlogMs: 0,
+  memoryTokens: 0,
+  streams: [],
+  startedLately: 0,
+};
+
+type Works = NonNullable<ReturnType<FleetLoad['byServer']['get']>>;
+
+function withWorks(
+  load: FleetLoad,
+  serverId: string,
+  works: Works,
+): FleetLoad['byServer'] {
+  return works.size === 0
+    ? mapWithout(load.byServer, serverId)
+    : mapWith(load.byServer, serverId, works);
+}
+
+/** Prefill left on a server that prefills one prompt after another. */
+function backlogMs(works: Works, now: number): number {
+  const waiting = [...works.values()].filter(work => !work.prefilled);
+  if (waiting.length === 0) return 0;
+  const totalMs = waiting.reduce((sum, work) => sum + work.prefillMs, 0);
+  const since = Math.min(...waiting.map(work => work.startedAt));
+  return Math.max(0, totalMs - (now - since));
+}
+
+/** Work that entries know of, on all backend servers. */
+export const fleetLoads = {
+  empty(): FleetLoad {
+    return {byServer: new Map(), serverOf: new Map()};
+  },
+
+  /** Adds work that `owner`, an entry, has sent. */
+  start(
+    load: FleetLoad,
+    work: WorkItem,
+    owner: string,
+    now: number,
+  ): FleetLoad {
+    const works = load.byServer.get(work.serverId) ?? new Map();
+    const tracked = {...work, owner, startedAt: now, prefilled: false};
+    return {
+      byServer: mapWith(
+        load.byServer,
+        work.serverId,
+        mapWith(works, work.workId, tracked),
+      ),
+      serverOf: mapWith(load.serverOf, work.workId, work.serverId),
+    };
+  },
+
+  /** Notes that a prompt has been read; parts on other servers are over. */
+  prefilled(load: FleetLoad, workId: string): FleetLoad {
+    const serverId = load.serverOf.get(workId);
+    const works = serverId && load.byServer.get(serverId);
+    const work = works && works.get(workId);
+    if (!serverId || !works || !work) return load;
+    const next = mapWith(works, workId, {...work, prefilled: true});
+    return {...load, byServer: mapWith(load.byServer, serverId, next)};
+  },
+
+  end(load: FleetLoad, workId: string): FleetLoad {
+    const serverId = load.serverOf.get(workId);
+    const works = serverId && load.byServer.get(serverId);
+    if (!serverId || !works) return load;
+    return {
+      byServer: withWorks(load, serverId, mapWithout(works, workId)),
+      serverOf: mapWithout(load.serverOf, workId),
+    };
+  },
+
+  /** Forgets the work of an entry that is gone, and work that is too old. */
+  forget(load: FleetLoad, owner: string | undefined, now: number): FleetLoad {
+    return [...load.byServer.values()]
+      .flatMap(works => [...works.values()])
+      .filter(
+        work => work.owner === owner || now - work.startedAt > WORK_TTL_MS,
+      )
+      .reduce((rest, work) => fleetLoads.end(rest, work.workId), load);
+  },
+
+  /** Changes that lead to the work of one entry. */
+  ownedBy(load: FleetLoad, owner: string): readonly WorkChange[] {
+    return [...load.byServer.values()]
+      .flatMap(works => [...works.values()])
+      .filter(work => work.owner === owner)
+      .flatMap(({owner: _owner, startedAt: _startedAt, prefilled, ...work}) => {
+        const start: WorkChange = {type: 'start', work};
+        const {workId} = work;
+        return prefilled ? [start, {type: 'prefilled', workId}] : [start];
+      });
+  },
+
+  /** Sums up what is known of one server. */
+  of(load: FleetLoad, serverId: string, now: number): ServerLoad {
+    const works = load.byServer.get(serverId);
+    if (!works) return IDLE;
+    const all = [...works.values()];
+    const own = all.filter(work => work.decodes);
+    const decoding = own.filter(work => work.prefilled);
+    return {
+      running: own.length,
+      decoding: decoding.length,
+      backlogMs: backlogMs(works, now),
+      memoryTokens: all.reduce((sum, work) => sum + work.memoryTokens, 0),
+      streams: own.map(({pauseMs, worth}) => ({pauseMs, worth})),
+      startedLately: all.filter(work => now - work.startedAt < RECENT_MS)
+        .length,
+    };
+  },
+};
--- /dev/null
+++ b/packages/decisions/src/serving/prompt_query.ts
@@ -0,0 +1,15 @@
+import type {EngineProfile} from './engine_profile.js';
+
+/** A prompt that needs model engines. */
+export interface PromptQuery {
+  readonly engine: EngineProfile;
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+  /** Milliseconds within which the first event is on time. */
+  readonly targetMs: number;
+  /** Longest pause in milliseconds between events. */
+  readonly pauseMs: number;
+  /** Availability zone of the entry. */
+  readonly zone: string;
+  readonly random: () => number;
+}
--- /dev/null
+++ b/packages/decisions/src/serving/server_health.ts
@@ -0,0 +1,8 @@
+/** What an entry has seen of a backend server's answers. */
+export interface ServerHealth {
+  /** Recent share of requests that failed, from 0 to 1. */
+  readonly failureShare: number;
+  readonly updatedAt: number;
+  /** Time in milliseconds until which the server is left out. */
+  readonly avoidUntil: number;
+}
--- a/packages/figfall/src/agent/engine_reconciler.ts
+++ b/packages/figfall/src/agent/engine_reconciler.ts
@@ -1,6 +1,6 @@
 import {unownedWork} from '@figfall/decisions';
 import type {ModelEngine} from '@figfall/model-engine';
-import type {Logger} from '../observability/logger.js';
+import type {Logger} from '@figfall/observability';
 import {AGENT} from './agent_constants.js';
 
 interface EngineReconcilerOptions {
--- a/packages/figfall/src/index.ts
+++ b/packages/figfall/src/index.ts
@@ -4,5 +4,3 @@
 export * from './entry/entry_settings.js';
 export * from './node/load_hash.js';
 export * from './node/node_settings.js';
-export * from './observability/create_logger.js';
-export * from './observability/logger.js';
--- a/packages/figfall/src/node/count_platform_calls.ts
+++ b/packages/figfall/src/node/count_platform_calls.ts
@@ -1,6 +1,6 @@
 import type {Platform} from '@figfall/platform';
 import type {Result} from 'neverthrow';
-import type {Metrics} from '../observability/metrics.js';
+import type {Metrics} from '@figfall/observability';
 
 type Answer = Promise<Result<unknown, {readonly type: string}>>;
 
--- a/packages/figfall/src/node/create_node_context.ts
+++ b/packages/figfall/src/node/create_node_context.ts
@@ -1,8 +1,8 @@
 import {randomUUID} from 'node:crypto';
 import {createPlatform} from '@figfall/platform';
-import {createLogger} from '../observability/create_logger.js';
-import {createMetrics} from '../observability/create_metrics.js';
-import {createTracing} from '../observability/create_tracing.js';
+import {createLogger} from '@figfall/observability';
+import {createMetrics} from '@figfall/observability';
+import {createTracing} from '@figfall/observability';
 import {countPlatformCalls} from './count_platform_calls.js';
 import {loadHash} from './load_hash.js';
 import type {NodeContext} from './node_context.js';
--- a/packages/figfall/src/node/node_context.ts
+++ b/packages/figfall/src/node/node_context.ts
@@ -1,9 +1,9 @@
 import type {HashFunction, RandomSource} from '@figfall/decisions';
 import type {LinkOptions, NodeIdentity} from '@figfall/node-link';
 import type {Platform} from '@figfall/platform';
-import type {Logger} from '../observability/logger.js';
-import type {Metrics} from '../observability/metrics.js';
-import type {Tracing} from '../observability/tracing.js';
+import type {Logger} from '@figfall/observability';
+import type {Metrics} from '@figfall/observability';
+import type {Tracing} from '@figfall/observability';
 import type {NodeSettings} from './node_settings.js';
 
 /** What every part of a node shares. */
--- /dev/null
+++ b/packages/gateway/src/core/create_gateway_metrics.ts
@@ -0,0 +1,61 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+/** Upper bounds in seconds of latency histograms. */
+const SECONDS_BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 3, 4, 6, 10, 15];
+
+/** Creates the metrics of one gateway. */
+export function createGatewayMetrics(nodeId: string) {
+  const registry = new Registry();
+  registry.setDefaultLabels({node: nodeId});
+  const registers = [registry];
+  return {
+    registry,
+    requests: new Counter({
+      name: 'figfall_requests_total',
+      help: 'Requests ended, by route and result.',
+      labelNames: ['route', 'result'],
+      registers,
+    }),
+    retries: new Counter({
+      name: 'figfall_retries_total',
+      help: 'Attempts after the first, by what the retry budget said.',
+      labelNames: ['result'],
+      registers,
+    }),
+    seconds: new Histogram({
+      name: 'figfall_request_seconds',
+      help: 'Time from a request to the end of its answer.',
+      labelNames: ['route'],
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    firstEventSeconds: new Histogram({
+      name: 'figfall_first_event_seconds',
+      help: 'Time from a request to the first event of its stream.',
+      labelNames: ['route'],
+      buckets: SECONDS_BUCKETS,
+      registers,
+    }),
+    configVersion: new Gauge({
+      name: 'figfall_config_version',
+      help: 'Version of the configuration in force.',
+      registers,
+    }),
+    entries: new Gauge({
+      name: 'figfall_linked_entries',
+      help: 'Other entries that are linked.',
+      registers,
+    }),
+    storeCalls: new Counter({
+      name: 'figfall_store_calls_total',
+      help: 'Calls to the metadata store, by call and result.',
+      labelNames: ['call', 'result'],
+      registers,
+    }),
+    droppedLogLines: new Counter({
+      name: 'figfall_dropped_log_lines_total',
+      help: 'Log lines dropped because output was too slow.',
+      registers,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -0,0 +1,208 @@
+import {createFailure, retryBudget} from '@figfall/decisions';
+import type {
+  BackendServer,
+  RandomSource,
+  ServingConfig,
+} from '@figfall/decisions';
+import type {Logger} from '@figfall/observability';
+import {buildSpec} from '../calls/build_spec.js';
+import type {CallOutcome} from '../calls/call_outcome.js';
+import type {CallSpec} from '../calls/call_spec.js';
+import {GatewayCall} from '../calls/gateway_call.js';
+import {GATEWAY} from '../constants.js';
+import type {AnswerSink} from '../ports/answer_sink.js';
+import type {BackendClient} from '../ports/backend_client.js';
+import type {CallerRequest} from '../ports/caller_request.js';
+import type {GatewayMetrics} from './gateway_metrics.js';
+import type {Fleet} from './fleet.js';
+
+interface GatewayCoreOptions {
+  readonly fleet: Fleet;
+  readonly client: BackendClient;
+  readonly logger: Logger;
+  readonly metrics: GatewayMetrics;
+  readonly random: RandomSource;
+  readonly now: () => number;
+  readonly retry: {
+    /** Retries earned by one request. */
+    readonly ratio: number;
+    /** Retries beyond these that all entries together may make. */
+    readonly slack: number;
+  };
+}
+
+/** A request that is under way. */
+interface OpenCall {
+  readonly callerGone: () => void;
+  readonly drained: () => void;
+}
+
+type Budget = ReturnType<typeof retryBudget.create>;
+
+const NO_CALL: OpenCall = {
+  callerGone: () => undefined,
+  drained: () => undefined,
+};
+
+/** The requests of one gateway, and the configuration they are served by. */
+export class GatewayCore {
+  private readonly calls = new Map<number, GatewayCall>();
+  private callCount = 0;
+  private readonly budgets = new Map<string, Budget>();
+  private config?: ServingConfig;
+  private isLeaving = false;
+  private entries = 1;
+
+  constructor(private readonly options: GatewayCoreOptions) {}
+
+  /** Puts a configuration in force unless a newer one is. */
+  configure(config: ServingConfig): boolean {
+    if (this.config && config.version <= this.config.version) return false;
+    this.config = config;
+    this.options.metrics.configVersion.set(config.version);
+    this.options.logger.info('configuration in force', {
+      version: config.version,
+      routes: config.routes.length,
+    });
+    return true;
+  }
+
+  configVersion(): number {
+    return this.config?.version ?? 0;
+  }
+
+  setServers(servers: readonly BackendServer[]): void {
+    this.options.fleet.setServers(servers);
+    this.options.client.keepOnly(servers);
+  }
+
+  /** Number of entries that share the retry budget. */
+  setEntries(entries: number): void {
+    this.entries = Math.max(1, entries);
+  }
+
+  isReady(): boolean {
+    return this.config !== undefined && !this.isLeaving;
+  }
+
+  leave(): void {
+    this.isLeaving = true;
+  }
+
+  isBusy(): boolean {
+    return this.calls.size > 0;
+  }
+
+  tick(): void {
+    [...this.calls.values()].forEach(call => call.step({type: 'tick'}));
+  }
+
+  /** Serves one attempt of a caller. */
+  serve(req: CallerRequest, sink: AnswerSink): OpenCall {
+    const {random, metrics, logger, fleet, client, now} = this.options;
+    const built = buildSpec(this.config, req, random);
+    if (built.isErr()) {
+      const {kind, message} = built.error;
+      metrics.requests.inc({route: '', result: kind});
+      logger.info('request refused', {
+        requestId: req.requestId,
+        kind,
+        reason: message,
+        configVersion: this.configVersion(),
+      });
+      sink.fail(built.error);
+      return NO_CALL;
+    }
+    const spec = built.value;
+    this.earnRetry(spec.service.name);
+    let hasEnded = false;
+    const callId = (this.callCount += 1);
+    const call = new GatewayCall({
+      spec,
+      sink,
+      fleet,
+      client,
+      now,
+      spendRetry: service => this.spendRetry(service),
+      onAttemptEnd: ({requestId, serverId, result, reason}) =>
+        logger.info('attempt ended', {requestId, serverId, result, reason}),
+      onEnd: outcome => {
+        hasEnded = true;
+        this.calls.delete(callId);
+        this.report(spec, outcome);
+      },
+    });
+    if (!hasEnded) this.calls.set(callId, call);
+    return {
+      callerGone: () => call.step({type: 'caller-gone'}),
+      drained: () => call.drained(),
+    };
+  }
+
+  /** Fails all requests that are still under way. */
+  abort(): void {
+    const failure = createFailure('leaving', 'The entry is shutting down.');
+    [...this.calls.values()].forEach(call =>
+      call.step({type: 'not-routed', failure: {...failure, ran: 'unknown'}}),
+    );
+  }
+
+  private retryOptions() {
+    const {ratio, slack} = this.options.retry;
+    return {
+      ratio: ratio * GATEWAY.RETRY_SHARE,
+      burst: (slack * GATEWAY.RETRY_SHARE) / this.entries,
+    };
+  }
+
+  private budget(service: string): Budget {
+    return this.budgets.get(service) ?? retryBudget.create(this.retryOptions());
+  }
+
+  private earnRetry(service: string): void {
+    this.budgets.set(
+      service,
+      retryBudget.recordAttempt(this.budget(service), this.retryOptions()),
+    );
+  }
+
+  private spendRetry(service: string): boolean {
+    const spent = retryBudget.spend(this.budget(service));
+    this.budgets.set(service, spent.budget);
+    this.options.metrics.retries.inc({
+      result: spent.allowed ? 'sent' : 'over-budget',
+    });
+    return spent.allowed;
+  }
+
+  private report(spec: CallSpec, outcome: CallOutcome): void {
+    const {metrics, logger} = this.options;
+    const {req, route, service} = spec;
+    const result = outcome.failure?.kind ?? outcome.result;
+    metrics.requests.inc({route: route.name, result});
+    metrics.seconds.observe({route: route.name}, outcome.totalMs / 1_000);
+    if (outcome.firstEventMs !== undefined) {
+      metrics.firstEventSeconds.observe(
+        {route: route.name},
+        outcome.firstEventMs / 1_000,
+      );
+    }
+    logger.info('request ended', {
+      requestId: req.requestId,
+      route: route.name,
+      service: service.name,
+      result,
+      ran: outcome.failure?.ran,
+      reason: outcome.failure?.message,
+      status: outcome.status,
+      serverId: outcome.serverId,
+      attempts: outcome.attempts,
+      parts: outcome.parts,
+      promptTokens: req.prompt?.promptTokens,
+      predictedMs: Math.round(outcome.predictedMs),
+      firstEventMs: outcome.firstEventMs && Math.round(outcome.firstEventMs),
+      totalMs: Math.round(outcome.totalMs),
+      configVersion: this.configVersion(),
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/core/gateway_metrics.ts
@@ -0,0 +1,4 @@
+import type {createGatewayMetrics} from './create_gateway_metrics.js';
+
+/** Metrics of one gateway. */
+export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
--- /dev/null
+++ b/packages/gateway/src/peers/entry_address.ts
@@ -0,0 +1,5 @@
+/** Where an entry listens for links of other entries. */
+export interface EntryAddress {
+  readonly host: string;
+  readonly port: number;
+}
--- /dev/null
+++ b/packages/gateway/src/peers/open_peers.ts
@@ -0,0 +1,89 @@
+import type {WorkChange} from '@figfall/decisions';
+import {createLinkPool, createLinkServer} from '@figfall/node-link';
+import type {LinkEvent, LinkOptions} from '@figfall/node-link';
+import type {Logger} from '@figfall/observability';
+import {Effect} from 'effect';
+import type {Scope} from 'effect';
+import type {Fleet} from '../core/fleet.js';
+import type {EntryAddress} from './entry_address.js';
+import {PeerTable} from './peer_table.js';
+
+interface PeersOptions {
+  readonly linkOptions: LinkOptions;
+  readonly address: EntryAddress;
+  readonly seeds: readonly EntryAddress[];
+  readonly fleet: Fleet;
+  readonly logger: Logger;
+  readonly random: () => number;
+  readonly now: () => number;
+  /** Learns how many other entries are linked. */
+  readonly onCount: (count: number) => void;
+}
+
+interface Peers {
+  /** Tells all linked entries of this entry's work. */
+  readonly announce: (change: WorkChange) => void;
+  /** Forgets entries that are long gone. */
+  readonly tick: () => void;
+}
+
+/**
+ * Links the entries of a deployment with each other, so that each knows what
+ * the others have sent to which backend server. What they tell is a hint for
+ * placement: an entry without links serves on with its own view.
+ */
+export function openPeers(
+  options: PeersOptions,
+): Effect.Effect<Peers, Error, Scope.Scope> {
+  const {linkOptions, fleet, logger, random} = options;
+
+  const onInbound = (event: LinkEvent): void => {
+    if (event.type === 'message') {
+      const {link, message, stream, cost} = event;
+      const owner = link.peer()?.incarnation ?? '';
+      if (message.type === 'work') {
+        message.changes.forEach(change => fleet.hear(change, owner));
+      }
+      if (message.type === 'entries') table.learn(message.addresses);
+      return link.consumed(stream, cost);
+    }
+    if (event.type === 'link-down' && event.peer) {
+      fleet.forget(event.peer.incarnation);
+    }
+  };
+
+  const onOutbound = (event: LinkEvent): void => {
+    const peer = event.link.peer();
+    if (event.type === 'link-up') {
+      logger.info('entry linked', {peer: event.peer.id});
+      table.linked(event.link);
+    }
+    if (event.type === 'link-down') {
+      if (peer) {
+        logger.info('entry lost', {peer: peer.id, reason: event.reason});
+      }
+      table.unlinked(event.link);
+    }
+    if (event.type === 'message') event.link.consumed(event.stream, event.cost);
+    options.onCount(table.count());
+  };
+
+  const table = new PeerTable(options);
+  return Effect.gen(function* () {
+    yield* createLinkServer({
+      ...linkOptions,
+      ...options.address,
+      onEvent: onInbound,
+    });
+    const pool = yield* createLinkPool({
+      ...linkOptions,
+      random,
+      onEvent: onOutbound,
+    });
+    table.start(pool.setPeers);
+    return {
+      announce: change => table.announce(change),
+      tick: () => table.tick(),
+    };
+  });
+}
--- a/packages/node-link/src/messages/peer_message.ts
+++ b/packages/node-link/src/messages/peer_message.ts
@@ -3,6 +3,7 @@
   ConfigDigest,
   ConfigEntry,
   Failure,
+  WorkChange,
 } from '@figfall/decisions';
 import type {OpenCall} from './open_call.js';
 import type {PlainResponse} from './plain_response.js';
@@ -85,4 +86,17 @@
     }
   | {readonly type: 'digest'; readonly digest: ConfigDigest}
   | {readonly type: 'records'; readonly entries: readonly ConfigEntry[]}
-  | {readonly type: 'ask'; readonly above: number};
+  | {readonly type: 'ask'; readonly above: number}
+  | {
+      /** Changes of the work that an entry has sent to backend servers. */
+      readonly type: 'work';
+      readonly changes: readonly WorkChange[];
+    }
+  | {
+      /** Link addresses of entries that the sender knows. */
+      readonly type: 'entries';
+      readonly addresses: readonly {
+        readonly host: string;
+        readonly port: number;
+      }[];
+    };
