fix(http-client): bound the time that a connection may take to come about

Cause: `setTimeout` of a request starts once its socket is connected, so a connect attempt whose opening packet was lost hung through the exponential retransmissions.

Change: a connection must be there within 700 ms, else the call fails as not sent.

--- a/packages/http-client/src/http_request.ts
+++ b/packages/http-client/src/http_request.ts
@@ -1,3 +1,5 @@
+import type {LookupFunction} from 'node:net';
+
 /** One HTTP request. */
 export interface HttpRequest {
   readonly method: string;
@@ -9,4 +11,9 @@
   /** Milliseconds without an answer after which the exchange is lost. */
   readonly timeoutMs: number;
   readonly signal?: AbortSignal;
+  /**
+   * Resolves host names.
+   * @default the system's resolver
+   */
+  readonly lookup?: LookupFunction;
 }
--- a/packages/http-client/src/open_exchange.ts
+++ b/packages/http-client/src/open_exchange.ts
@@ -1,5 +1,5 @@
 import {Agent, request} from 'node:http';
-import type {IncomingMessage} from 'node:http';
+import type {ClientRequest, IncomingMessage} from 'node:http';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import type {HttpFailure} from './http_failure.js';
@@ -7,6 +7,9 @@
 
 const keepAlive = new Agent({keepAlive: true, maxSockets: 512});
 
+/** Milliseconds within which a connection must be there. */
+const CONNECT_MS = 700;
+
 const REFUSED_CODES = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH'];
 
 function failureOf(error: NodeJS.ErrnoException): HttpFailure {
@@ -14,9 +17,21 @@
   return {type: wasRefused ? 'not-sent' : 'lost', message: error.message};
 }
 
+/** Ends a request whose connection does not come about in time. */
+function boundConnect(req: ClientRequest, onUnconnected: () => void): void {
+  const timer = setTimeout(onUnconnected, CONNECT_MS);
+  const stop = () => clearTimeout(timer);
+  req.on('socket', socket => {
+    if (socket.connecting) socket.once('connect', stop);
+    else stop();
+  });
+  req.on('close', stop);
+}
+
 /**
  * Sends a request and returns the response once its head has come. The
- * timeout bounds each silence up to the end of the body.
+ * timeout bounds each silence up to the end of the body; a connection that
+ * does not come about ends the request sooner.
  */
 export function openExchange(
   options: HttpRequest,
@@ -29,6 +44,12 @@
       headers: {...options.headers, 'content-length': length},
       agent: keepAlive,
       signal: options.signal,
+      lookup: options.lookup,
+    });
+    boundConnect(req, () => {
+      const message = `No connection to ${options.baseUrl} within ${CONNECT_MS} ms.`;
+      resolve(err({type: 'not-sent', message}));
+      req.destroy();
     });
     req.setTimeout(options.timeoutMs, () => {
       const message = `No answer for ${options.timeoutMs} ms from ${options.baseUrl}.`;
