fix(platform): an answer without a length keeps that form; one answer a call

(2) A failing answer of the first attempt was kept while a second attempt streamed, and both were sent at its end: headers twice, and the process ended.

Change: the head says that the body ends with the connection and the caller gets it so; a kept answer is dropped once a stream begins, and an answer that is no stream breaks a begun one off.

--- /dev/null
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -0,0 +1,116 @@
+import {test} from 'node:test';
+import {createFailure} from '@figfall/decisions';
+import {expect} from 'earl';
+import type {AnswerHead} from '../ports/answer_head.js';
+import {gatewayFixture} from './gateway_fixture.js';
+
+function head(status: number): AnswerHead {
+  return {status, headers: [], endsWithConnection: false};
+}
+
+test('a stream after an attempt that answered 500 ends as a stream', () => {
+  const {attempts, serve} = gatewayFixture();
+  const {seen} = serve('/stream/x');
+  attempts[0]?.emit({type: 'sent'});
+  attempts[0]?.emit({type: 'answer', head: head(500), body: Buffer.from('no')});
+  attempts[1]?.emit({type: 'sent'});
+  attempts[1]?.emit({type: 'head', head: head(200)});
+  attempts[1]?.emit({type: 'events', firstId: 0, texts: ['one', 'two']});
+  attempts[1]?.emit({type: 'end'});
+  expect(seen).toEqual({status: 200, text: 'onetwo', ended: true});
+});
+
+test('a stream that breaks off goes on at another server without a gap', () => {
+  const {attempts, serve} = gatewayFixture();
+  const {seen} = serve('/stream/x');
+  attempts[0]?.emit({type: 'sent'});
+  attempts[0]?.emit({type: 'head', head: head(200)});
+  attempts[0]?.emit({type: 'events', firstId: 5, texts: ['5', '6']});
+  attempts[0]?.emit({type: 'failed', reason: 'reset', disconnected: true});
+  expect(attempts[1]?.req.lastEventId).toEqual(6);
+  expect(attempts[1]?.req.server.id).not.toEqual(attempts[0]?.req.server.id);
+  attempts[1]?.emit({type: 'sent'});
+  attempts[1]?.emit({type: 'head', head: head(200)});
+  attempts[1]?.emit({type: 'events', firstId: 6, texts: ['6', '7']});
+  attempts[1]?.emit({type: 'end'});
+  expect(seen).toEqual({status: 200, text: '567', ended: true});
+});
+
+test('a stream that goes on with a plain answer is broken off', () => {
+  const {attempts, serve} = gatewayFixture();
+  const {seen} = serve('/stream/x');
+  attempts[0]?.emit({type: 'sent'});
+  attempts[0]?.emit({type: 'head', head: head(200)});
+  attempts[0]?.emit({type: 'events', firstId: 0, texts: ['0']});
+  attempts[0]?.emit({type: 'failed', reason: 'reset', disconnected: true});
+  attempts[1]?.emit({type: 'sent'});
+  attempts[1]?.emit({type: 'answer', head: head(500), body: Buffer.from('no')});
+  expect(seen.text).toEqual('0');
+  expect(seen.ended).toEqual(false);
+  expect(seen.failure?.ran).toEqual('yes');
+});
+
+test('a request that may not repeat is sent once after it may have run', () => {
+  const {attempts, serve} = gatewayFixture();
+  const {seen} = serve('/book/x');
+  attempts[0]?.emit({type: 'sent'});
+  attempts[0]?.emit({type: 'failed', reason: 'reset', disconnected: true});
+  expect(attempts.length).toEqual(1);
+  expect(seen.failure?.ran).toEqual('unknown');
+});
+
+test('a request that may not repeat goes elsewhere after a refusal', () => {
+  const {attempts, serve} = gatewayFixture();
+  const {seen} = serve('/book/x');
+  attempts[0]?.emit({type: 'sent'});
+  attempts[0]?.emit({
+    type: 'refused',
+    failure: createFailure('queue-full', 'full'),
+    unreachable: false,
+  });
+  attempts[1]?.emit({type: 'sent'});
+  attempts[1]?.emit({type: 'answer', head: head(200), body: Buffer.from('ok')});
+  expect(seen).toEqual({status: 200, text: 'ok', ended: true});
+});
+
+test('a server that answers 504 at the deadline is not followed by another', () => {
+  const {attempts, serve} = gatewayFixture();
+  const {seen} = serve('/read/x');
+  attempts[0]?.emit({type: 'sent'});
+  attempts[0]?.emit({type: 'answer', head: head(504), body: Buffer.alloc(0)});
+  expect(attempts.length).toEqual(1);
+  expect(seen.status).toEqual(504);
+});
+
+test('the last failing answer of a server reaches the caller', () => {
+  const {attempts, serve} = gatewayFixture();
+  const {seen} = serve('/read/x');
+  [0, 1].forEach(i => {
+    attempts[i]?.emit({type: 'sent'});
+    attempts[i]?.emit({
+      type: 'answer',
+      head: head(500),
+      body: Buffer.from(`${i}`),
+    });
+  });
+  expect(seen).toEqual({status: 500, text: '1', ended: true});
+});
+
+test('a caller that leaves ends the attempt', () => {
+  const {attempts, serve, core} = gatewayFixture();
+  const {call} = serve('/stream/x');
+  attempts[0]?.emit({type: 'sent'});
+  call.callerGone();
+  expect(attempts[0]?.cancelled).toEqual(true);
+  expect(core.isBusy()).toEqual(false);
+});
+
+test('a request past its deadline is answered and its attempt ended', () => {
+  const {attempts, serve, core, clock} = gatewayFixture();
+  const {seen} = serve('/book/x');
+  attempts[0]?.emit({type: 'sent'});
+  clock.now += 8_000;
+  core.tick();
+  expect(seen.failure?.kind).toEqual('deadline-exceeded');
+  expect(attempts[0]?.cancelled).toEqual(true);
+});
--- /dev/null
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -0,0 +1,172 @@
+import type {BackendServer, ServingConfig} from '@figfall/decisions';
+import type {Failure} from '@figfall/decisions';
+import {createGatewayMetrics} from '../core/create_gateway_metrics.js';
+import {Fleet} from '../core/fleet.js';
+import {GatewayCore} from '../core/gateway_core.js';
+import type {AnswerHead} from '../ports/answer_head.js';
+import type {AnswerSink} from '../ports/answer_sink.js';
+import type {BackendClient} from '../ports/backend_client.js';
+import type {BackendEvent} from '../ports/backend_event.js';
+import type {BackendRequest} from '../ports/backend_request.js';
+import type {CallerRequest} from '../ports/caller_request.js';
+
+const QUIET = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+interface SentAttempt {
+  readonly req: BackendRequest;
+  readonly emit: (event: BackendEvent) => void;
+  cancelled: boolean;
+}
+
+/** What a caller has seen. */
+interface Seen {
+  status?: number;
+  text: string;
+  ended: boolean;
+  failure?: Failure;
+}
+
+function server(id: string, service: string): BackendServer {
+  return {
+    id,
+    service,
+    host: '127.0.0.1',
+    port: 1,
+    zone: 'nord',
+    state: 'ready',
+    slots: 8,
+    coldUntil: 0,
+  };
+}
+
+const ROUTE = {
+  host: 'a.test',
+  maxAttempts: 2,
+  timeoutMs: 10_000,
+  targetMs: 300,
+  pauseMs: 250,
+  isPublic: true,
+};
+
+const CONFIG: ServingConfig = {
+  version: 1,
+  routes: [
+    {
+      ...ROUTE,
+      name: 'stream',
+      pathPrefix: '/stream/',
+      kind: 'streaming',
+      resumable: true,
+      split: [{service: 'plain', weight: 1}],
+    },
+    {
+      ...ROUTE,
+      name: 'read',
+      pathPrefix: '/read/',
+      kind: 'idempotent',
+      resumable: false,
+      split: [{service: 'plain', weight: 1}],
+    },
+    {
+      ...ROUTE,
+      name: 'book',
+      pathPrefix: '/book/',
+      kind: 'non-idempotent',
+      resumable: false,
+      split: [{service: 'plain', weight: 1}],
+    },
+  ],
+  services: new Map([['plain', {name: 'plain', coldPerSecond: 0}]]),
+  limits: {bodyBytes: 1_000, headerMs: 1_000, idleMs: 1_000},
+};
+
+/** A gateway core with a hand-driven clock and backend servers. */
+export function gatewayFixture(serverIds: readonly string[] = ['a', 'b']) {
+  const clock = {now: 1_000};
+  const attempts: SentAttempt[] = [];
+  const client: BackendClient = {
+    send: (req, onEvent) => {
+      const attempt: SentAttempt = {
+        req,
+        emit: onEvent,
+        cancelled: false,
+      };
+      attempts.push(attempt);
+      return {
+        cancel: () => {
+          attempt.cancelled = true;
+        },
+        pause: () => undefined,
+        resume: () => undefined,
+      };
+    },
+    reserve: () => Promise.resolve(true),
+    release: () => Promise.resolve(true),
+    keepOnly: () => undefined,
+  };
+  const fleet = new Fleet({
+    owner: 'self',
+    zone: 'nord',
+    random: () => 0.5,
+    now: () => clock.now,
+    announce: () => undefined,
+  });
+  const core = new GatewayCore({
+    fleet,
+    client,
+    logger: QUIET,
+    metrics: createGatewayMetrics('test'),
+    random: () => 0.5,
+    now: () => clock.now,
+    retry: {ratio: 0.2, slack: 100},
+  });
+  core.configure(CONFIG);
+  core.setServers(serverIds.map(id => server(id, 'plain')));
+
+  const serve = (path: string, options: Partial<CallerRequest> = {}) => {
+    const seen: Seen = {text: '', ended: false};
+    const begin = (head: AnswerHead) => {
+      if (seen.status !== undefined) throw new Error('headers sent twice');
+      seen.status = head.status;
+    };
+    const sink: AnswerSink = {
+      answer: (head, body) => {
+        begin(head);
+        seen.text = body.toString();
+        seen.ended = true;
+      },
+      begin,
+      events: texts => {
+        seen.text += texts.join('');
+        return true;
+      },
+      end: () => {
+        seen.ended = true;
+      },
+      fail: failure => {
+        seen.failure = failure;
+      },
+    };
+    const call = core.serve(
+      {
+        requestId: 'r1',
+        method: 'GET',
+        host: 'a.test',
+        target: path,
+        headers: [],
+        body: Buffer.alloc(0),
+        timeoutMs: 8_000,
+        arrivedAt: clock.now,
+        ...options,
+      },
+      sink,
+    );
+    return {seen, call};
+  };
+  return {clock, attempts, core, fleet, serve};
+}
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -288,7 +288,8 @@
   private onAnswer(head: AnswerHead, body: Buffer, attemptId: string): void {
     const isFailure = head.status >= 500;
     this.record(isFailure ? 'failed' : 'answered');
-    if (!this.hasBegun) this.answer = {head, body};
+    if (this.hasBegun) return this.onAnswerMidway(head.status, attemptId);
+    this.answer = {head, body};
     const mayRepeat = isFailure && head.status !== GATEWAY.TIMED_OUT_STATUS;
     if (!mayRepeat || !this.parts.spec.idempotent) {
       return this.step({type: 'done', attemptId, count: this.state.nextIndex});
@@ -299,6 +300,14 @@
     this.step({type: 'failed', attemptId, failure, crashed: false});
   }
 
+  /** A stream can't go on with an answer that is no stream. */
+  private onAnswerMidway(status: number, attemptId: string): void {
+    const reason = `The backend server answered ${status} instead of going on with the stream.`;
+    this.note('failed', reason);
+    const failure = createFailure('backend-error', reason);
+    this.step({type: 'failed', attemptId, failure, crashed: false});
+  }
+
   private notePrefilled(attemptId: string): void {
     this.firstEventAt ??= this.parts.now();
     if (this.hasPrefilled) return;
@@ -380,6 +389,7 @@
   private begin(): void {
     if (this.hasBegun || !this.head) return;
     this.hasBegun = true;
+    this.answer = undefined;
     this.parts.sink.begin(this.head);
   }
 
--- a/packages/gateway/src/ports/answer_head.ts
+++ b/packages/gateway/src/ports/answer_head.ts
@@ -4,4 +4,9 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: HeaderList;
+  /**
+   * True where only the end of the connection ends the body. The caller gets
+   * it the same way, since nobody can tell whether it is whole.
+   */
+  readonly endsWithConnection: boolean;
 }
