--- a/packages/gateway/src/__tests__/gateway_call.test.ts
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -96,6 +96,20 @@
   expect(seen).toEqual({status: 500, text: '1', ended: true});
 });
 
+test('a silent server is given up only while another may be asked', () => {
+  const {attempts, serve, core, clock} = gatewayFixture();
+  const {seen} = serve('/stream/x');
+  attempts[0]?.emit({type: 'sent'});
+  clock.now += 3_000;
+  core.tick();
+  expect(attempts.length).toEqual(2);
+  attempts[1]?.emit({type: 'sent'});
+  clock.now += 3_000;
+  core.tick();
+  expect(attempts[1]?.cancelled).toEqual(false);
+  expect(seen.failure).toEqual(undefined);
+});
+
 test('a caller that leaves ends the attempt', () => {
   const {attempts, serve, core} = gatewayFixture();
   const {call} = serve('/stream/x');
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -397,6 +397,7 @@
     route: command => this.route(command),
     open: command => this.open(command),
     attach: ({attemptId}) => {
+      if (this.state.attempts >= this.options.maxAttempts) return;
       const reason = 'Nothing was heard from the backend server for too long.';
       this.receive({type: 'failed', reason, disconnected: false}, attemptId);
     },
