feat(decisions): long prompts queue for servers kept free of short ones

Change: a prompt whose parts pass unnoticed starts at once on many servers; a heavier one starts only on free servers outside those that short streams share, the shortest that can still be on time first, across all entries (they tell each other what waits). Late ones wait, are put first before their callers leave, and are refused once they can't be read. Silence that known work explains no longer ends an attempt. Streams that a placement disturbs weigh by the worth of their prompts.

--- /dev/null
+++ b/packages/decisions/src/serving/__tests__/plan_fixture.ts
@@ -0,0 +1,74 @@
+import type {BackendServer} from '../backend_server.js';
+import type {Candidate} from '../candidate.js';
+import type {EngineProfile} from '../engine_profile.js';
+import type {PromptQuery} from '../prompt_query.js';
+import type {ServerLoad} from '../server_load.js';
+
+/** An engine that reads 5,000 tokens in 31 ms and 154,000 in 3 s. */
+const ENGINE: EngineProfile = {
+  slots: 11,
+  memoryTokens: 315_000,
+  stepMs: 0.85,
+  sequenceStepMs: 0.006,
+  prefillTokensPerMs: 177,
+  attentionMsPerMillionPairs: 0.184,
+  stepsPerPass: 51,
+};
+
+const IDLE: ServerLoad = {
+  running: 0,
+  decoding: 0,
+  backlogMs: 0,
+  memoryTokens: 0,
+  streams: [],
+  startedLately: 0,
+  quickStreams: 0,
+  quickLately: 0,
+};
+
+function candidate(id: string, load: Partial<ServerLoad> = {}): Candidate {
+  const server: BackendServer = {
+    id,
+    service: 'pool',
+    host: '127.0.0.1',
+    port: 1,
+    zone: 'nord',
+    state: 'ready',
+    slots: 11,
+    coldUntil: 0,
+  };
+  return {server, load: {...IDLE, ...load}, failureShare: 0, isCold: false};
+}
+
+function query(
+  promptTokens: number,
+  options: Partial<PromptQuery> = {},
+): PromptQuery {
+  return {
+    engine: ENGINE,
+    promptTokens,
+    outputTokens: 1_000,
+    targetMs: 300,
+    pauseMs: 250,
+    zone: 'nord',
+    waitedMs: 0,
+    patienceMs: 12_000,
+    bestOtherRank: Infinity,
+    ...options,
+  };
+}
+
+/** `count` candidates with the same load. */
+function fleet(count: number, load: Partial<ServerLoad> = {}): Candidate[] {
+  return Array.from({length: count}, (_, i) => candidate(`i-${i}`, load));
+}
+
+const STREAMS: Partial<ServerLoad> = {
+  running: 3,
+  decoding: 3,
+  quickStreams: 3,
+  streams: Array.from({length: 3}, () => ({pauseMs: 250, worth: 1})),
+};
+
+/** Candidates, loads and queries for tests of placement. */
+export const planFixture = {candidate, engine: ENGINE, fleet, query, STREAMS};
--- a/packages/decisions/src/serving/fleet_load.ts
+++ b/packages/decisions/src/serving/fleet_load.ts
@@ -12,6 +12,11 @@
 /** Work on all backend servers, by server and by work id. */
 export interface FleetLoad {
   readonly byServer: ReadonlyMap<string, Works>;
+  /** Prompts that wait for servers, by the ids of their requests. */
+  readonly waiting: ReadonlyMap<
+    string,
+    {readonly owner: string; readonly rank: number; readonly since: number}
+  >;
   /** Server of each work. */
   readonly serverOf: ReadonlyMap<string, string>;
 }
--- a/packages/decisions/src/serving/fleet_loads.ts
+++ b/packages/decisions/src/serving/fleet_loads.ts
@@ -8,6 +8,9 @@
 /** Milliseconds after which work that nobody ended is forgotten. */
 const WORK_TTL_MS = 30_000;
 
+/** Longest prefill in milliseconds of a short prompt. */
+const QUICK_PREFILL_MS = 160;
+
 /** Milliseconds over which recent sends are counted. */
 const RECENT_MS = 1_000;
 
@@ -18,6 +21,8 @@
   memoryTokens: 0,
   streams: [],
   startedLately: 0,
+  quickStreams: 0,
+  quickLately: 0,
 };
 
 type Works = NonNullable<ReturnType<FleetLoad['byServer']['get']>>;
@@ -44,7 +49,7 @@
 /** Work that entries know of, on all backend servers. */
 export const fleetLoads = {
   empty(): FleetLoad {
-    return {byServer: new Map(), serverOf: new Map()};
+    return {byServer: new Map(), serverOf: new Map(), waiting: new Map()};
   },
 
   /** Adds work that `owner`, an entry, has sent. */
@@ -57,6 +62,7 @@
     const works = load.byServer.get(work.serverId) ?? new Map();
     const tracked = {...work, owner, startedAt: now, prefilled: false};
     return {
+      ...load,
       byServer: mapWith(
         load.byServer,
         work.serverId,
@@ -76,11 +82,40 @@
     return {...load, byServer: mapWith(load.byServer, serverId, next)};
   },
 
+  /** Notes that a prompt waits for servers. */
+  wait(
+    load: FleetLoad,
+    workId: string,
+    waiting: {readonly owner: string; readonly rank: number},
+    now: number,
+  ): FleetLoad {
+    const known = load.waiting.get(workId);
+    const since = known?.since ?? now;
+    return {
+      ...load,
+      waiting: mapWith(load.waiting, workId, {...waiting, since}),
+    };
+  },
+
+  /** Lowest rank of the prompts that wait, but for one. */
+  bestRank(load: FleetLoad, exceptWorkId: string): number {
+    return Math.min(
+      ...[...load.waiting]
+        .filter(([workId]) => workId !== exceptWorkId)
+        .map(([, {rank}]) => rank),
+    );
+  },
+
+  /** Ends work, or the wait of a prompt. */
   end(load: FleetLoad, workId: string): FleetLoad {
+    if (load.waiting.has(workId)) {
+      return {...load, waiting: mapWithout(load.waiting, workId)};
+    }
     const serverId = load.serverOf.get(workId);
     const works = serverId && load.byServer.get(serverId);
     if (!serverId || !works) return load;
     return {
+      ...load,
       byServer: withWorks(load, serverId, mapWithout(works, workId)),
       serverOf: mapWithout(load.serverOf, workId),
     };
@@ -88,12 +123,19 @@
 
   /** Forgets the work of an entry that is gone, and work that is too old. */
   forget(load: FleetLoad, owner: string | undefined, now: number): FleetLoad {
-    return [...load.byServer.values()]
-      .flatMap(works => [...works.values()])
-      .filter(
-        work => work.owner === owner || now - work.startedAt > WORK_TTL_MS,
-      )
-      .reduce((rest, work) => fleetLoads.end(rest, work.workId), load);
+    const isOver = (workOwner: string, at: number) =>
+      workOwner === owner || now - at > WORK_TTL_MS;
+    const works = [...load.byServer.values()]
+      .flatMap(byId => [...byId.values()])
+      .filter(work => isOver(work.owner, work.startedAt))
+      .map(({workId}) => workId);
+    const waits = [...load.waiting]
+      .filter(([, {owner: waitOwner, since}]) => isOver(waitOwner, since))
+      .map(([workId]) => workId);
+    return [...works, ...waits].reduce(
+      (rest, workId) => fleetLoads.end(rest, workId),
+      load,
+    );
   },
 
   /** Changes that lead to the work of one entry. */
@@ -114,6 +156,9 @@
     if (!works) return IDLE;
     const all = [...works.values()];
     const own = all.filter(work => work.decodes);
+    const quick = own.filter(work => work.prefillMs <= QUICK_PREFILL_MS);
+    const isRecent = (work: {readonly startedAt: number}) =>
+      now - work.startedAt < RECENT_MS;
     const decoding = own.filter(work => work.prefilled);
     return {
       running: own.length,
@@ -121,8 +166,9 @@
       backlogMs: backlogMs(works, now),
       memoryTokens: all.reduce((sum, work) => sum + work.memoryTokens, 0),
       streams: own.map(({pauseMs, worth}) => ({pauseMs, worth})),
-      startedLately: all.filter(work => now - work.startedAt < RECENT_MS)
-        .length,
+      startedLately: all.filter(isRecent).length,
+      quickStreams: quick.length,
+      quickLately: quick.filter(isRecent).length,
     };
   },
 };
--- a/packages/decisions/src/serving/prompt_query.ts
+++ b/packages/decisions/src/serving/prompt_query.ts
@@ -11,5 +11,10 @@
   readonly pauseMs: number;
   /** Availability zone of the entry. */
   readonly zone: string;
-  readonly random: () => number;
+  /** Milliseconds that the prompt has waited here. */
+  readonly waitedMs: number;
+  /** Milliseconds from its arrival for which its caller waits for an event. */
+  readonly patienceMs: number;
+  /** Lowest rank of the other prompts that wait; Infinity where none does. */
+  readonly bestOtherRank: number;
 }
--- a/packages/decisions/src/serving/server_load.ts
+++ b/packages/decisions/src/serving/server_load.ts
@@ -16,4 +16,8 @@
   }[];
   /** Requests sent in the last second. */
   readonly startedLately: number;
+  /** Streams with short prompts. */
+  readonly quickStreams: number;
+  /** Streams with short prompts sent in the last second. */
+  readonly quickLately: number;
 }
--- a/packages/decisions/src/serving/work_change.ts
+++ b/packages/decisions/src/serving/work_change.ts
@@ -4,4 +4,10 @@
 export type WorkChange =
   | {readonly type: 'start'; readonly work: WorkItem}
   | {readonly type: 'prefilled'; readonly workId: string}
+  | {
+      /** A prompt waits for servers; the id is that of its request. */
+      readonly type: 'wait';
+      readonly workId: string;
+      readonly rank: number;
+    }
   | {readonly type: 'end'; readonly workId: string};
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -86,7 +86,7 @@
       maxAttempts: Math.max(1, spec.route.maxAttempts),
       progressMs: silenceMs(spec, 0),
       detachMs: 0,
-      routeMs: 0,
+      routeMs: Infinity,
       crashes: 0,
       resumeFrom: 0,
     };
@@ -300,6 +300,14 @@
     this.step({type: 'failed', attemptId, failure, crashed: false});
   }
 
+  /** True while known work of the server explains its silence. */
+  private isExplained(): boolean {
+    const {agentId, heardAt} = this.state;
+    const backlogMs = agentId ? this.parts.fleet.loadOf(agentId).backlogMs : 0;
+    const silentMs = this.parts.now() - heardAt;
+    return silentMs < this.options.progressMs + backlogMs;
+  }
+
   /** A stream can't go on with an answer that is no stream. */
   private onAnswerMidway(status: number, attemptId: string): void {
     const reason = `The backend server answered ${status} instead of going on with the stream.`;
@@ -350,6 +358,7 @@
     if (this.state.phase !== 'ended' || this.isClosed) return;
     this.isClosed = true;
     this.endAttempt();
+    this.parts.fleet.endWait(this.parts.spec.req.requestId);
     const {now, spec, onEnd} = this.parts;
     onEnd({
       result: this.outcome,
@@ -398,6 +407,7 @@
     open: command => this.open(command),
     attach: ({attemptId}) => {
       if (this.state.attempts >= this.options.maxAttempts) return;
+      if (this.isExplained()) return;
       const reason = 'Nothing was heard from the backend server for too long.';
       this.receive({type: 'failed', reason, disconnected: false}, attemptId);
     },
--- a/packages/gateway/src/calls/silence_ms.ts
+++ b/packages/gateway/src/calls/silence_ms.ts
@@ -1,5 +1,6 @@
 import {GATEWAY} from '../constants.js';
 import type {CallSpec} from './call_spec.js';
+import {patienceMs} from './patience_ms.js';
 
 /** Target times of a plain answer after which a silent server is given up. */
 const PLAIN_TARGETS = 3;
@@ -18,11 +19,6 @@
 ): number {
   if (!idempotent) return Infinity;
   if (route.kind !== 'streaming') return route.targetMs * PLAIN_TARGETS;
-  const patienceMs = Math.max(
-    GATEWAY.PATIENCE_MIN_MS,
-    route.targetMs * GATEWAY.PATIENCE_TARGETS,
-    route.pauseMs * GATEWAY.PATIENCE_PAUSES,
-  );
-  const usualMs = patienceMs * GATEWAY.SILENCE_SHARE;
+  const usualMs = patienceMs(route) * GATEWAY.SILENCE_SHARE;
   return Math.max(usualMs, predictedMs * PREDICTED_FACTOR);
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -5,7 +5,7 @@
   /** Status of a backend server that ran a request up to its deadline. */
   TIMED_OUT_STATUS: 504,
   /** Milliseconds between checks of deadlines. */
-  TICK_MS: 50,
+  TICK_MS: 20,
   /** Least milliseconds left for which a request is still sent on. */
   SEND_MIN_MS: 30,
   /** Share of a caller's patience for silence after which to move on. */
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -4,7 +4,7 @@
   engineTime,
   fleetLoads,
   placePlain,
-  placePrompt,
+  planPrompt,
   serverHealths,
 } from '@figfall/decisions';
 import type {
@@ -12,6 +12,7 @@
   Candidate,
   Failure,
   PromptPlacement,
+  PromptPlan,
   RandomSource,
   ServerHealth,
   WorkChange,
@@ -20,6 +21,7 @@
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import type {CallSpec} from '../calls/call_spec.js';
+import {patienceMs} from '../calls/patience_ms.js';
 
 interface FleetOptions {
   /** Name of this entry, as owner of its work. */
@@ -70,14 +72,34 @@
       exclude,
       this.options.now(),
     );
-    const placement = this.choose(candidates, spec);
-    if (placement) return ok(placement);
-    return err(
-      createFailure(
-        'no-backend-server',
-        `No backend server of ${spec.service.name} can take the request now.`,
-      ),
-    );
+    const plan = this.plan(candidates, spec);
+    const {requestId} = spec.req;
+    const isWaiting = this.load.waiting.has(requestId);
+    if (plan?.type === 'wait') {
+      this.noteWait(requestId, plan.rank);
+      return err(createFailure('not-ready', 'The prompt waits for servers.'));
+    }
+    if (isWaiting) this.end(requestId);
+    if (plan?.type === 'start') return ok(plan.placement);
+    const failure = plan
+      ? createFailure('deadline-infeasible', plan.reason, {
+          retryAfterMs: plan.retryAfterMs,
+        })
+      : createFailure(
+          'no-backend-server',
+          `No backend server of ${spec.service.name} can take the request now.`,
+        );
+    return err(failure);
+  }
+
+  /** Forgets that a prompt waits. */
+  endWait(requestId: string): void {
+    if (this.load.waiting.has(requestId)) this.end(requestId);
+  }
+
+  private noteWait(workId: string, rank: number): void {
+    if (this.load.waiting.get(workId)?.rank === rank) return;
+    this.change({type: 'wait', workId, rank});
   }
 
   /** Load of a server as it is believed now, for logs. */
@@ -86,19 +108,15 @@
   }
 
   start(work: WorkItem): void {
-    const {owner, now, announce} = this.options;
-    this.load = fleetLoads.start(this.load, work, owner, now());
-    announce({type: 'start', work});
+    this.change({type: 'start', work});
   }
 
   prefilled(workId: string): void {
-    this.load = fleetLoads.prefilled(this.load, workId);
-    this.options.announce({type: 'prefilled', workId});
+    this.change({type: 'prefilled', workId});
   }
 
   end(workId: string): void {
-    this.load = fleetLoads.end(this.load, workId);
-    this.options.announce({type: 'end', workId});
+    this.change({type: 'end', workId});
   }
 
   /** Changes that tell another entry of all of this entry's work. */
@@ -108,15 +126,29 @@
 
   /** Takes in a change that another entry announced. */
   hear(change: WorkChange, owner: string): void {
-    if (change.type === 'start') {
-      const now = this.options.now();
-      this.load = fleetLoads.start(this.load, change.work, owner, now);
-      return;
+    this.load = this.apply(change, owner);
+  }
+
+  private apply(change: WorkChange, owner: string) {
+    const now = this.options.now();
+    switch (change.type) {
+      case 'start':
+        return fleetLoads.start(this.load, change.work, owner, now);
+      case 'prefilled':
+        return fleetLoads.prefilled(this.load, change.workId);
+      case 'wait': {
+        const {workId, rank} = change;
+        return fleetLoads.wait(this.load, workId, {owner, rank}, now);
+      }
+      case 'end':
+        return fleetLoads.end(this.load, change.workId);
     }
-    this.load =
-      change.type === 'end'
-        ? fleetLoads.end(this.load, change.workId)
-        : fleetLoads.prefilled(this.load, change.workId);
+  }
+
+  private change(change: WorkChange): void {
+    const {owner, announce} = this.options;
+    this.load = this.apply(change, owner);
+    announce(change);
   }
 
   /** Forgets the work of an entry that is gone, and work that is too old. */
@@ -133,32 +165,34 @@
     this.health.set(serverId, serverHealths.record(health, outcome, now));
   }
 
-  private choose(
+  private plan(
     candidates: readonly Candidate[],
     spec: CallSpec,
-  ): PromptPlacement | undefined {
-    const {zone, random} = this.options;
-    const {prompt} = spec.req;
+  ): PromptPlan | undefined {
+    const {zone, random, now} = this.options;
+    const {prompt, requestId, arrivedAt} = spec.req;
     const {engine} = spec.service;
     if (!engine || !prompt) {
       const chosen = placePlain(candidates, zone, random);
-      return chosen
-        ? {
-            serverId: chosen.server.id,
-            parts: [],
-            prefillMs: 0,
-            firstEventMs: 0,
-          }
-        : undefined;
+      if (!chosen) return undefined;
+      const placement = {
+        serverId: chosen.server.id,
+        parts: [],
+        prefillMs: 0,
+        firstEventMs: 0,
+      };
+      return {type: 'start', placement};
     }
     const {targetMs, pauseMs} = spec.route;
-    return placePrompt(candidates, {
+    return planPrompt(candidates, {
       engine,
       ...prompt,
       targetMs: Math.max(targetMs, engineTime.passMs(engine, 0)),
       pauseMs,
       zone,
-      random,
+      waitedMs: now() - arrivedAt,
+      patienceMs: Math.min(patienceMs(spec.route), spec.deadlineAt - arrivedAt),
+      bestOtherRank: fleetLoads.bestRank(this.load, requestId),
     });
   }
 }
