feat(decisions): short streams are packed, long prompts wait for free servers

Change: a server with more short streams costs a short prompt less; a long one takes only servers without short streams, more of them the longer it has waited; late ones take no more servers than they need.

--- a/packages/decisions/src/serving/placement_costs.ts
+++ b/packages/decisions/src/serving/placement_costs.ts
@@ -21,8 +21,11 @@
 /** Cost of sending to another availability zone. */
 const ZONE_COST = 0.005;
 
-/** Cost of a server where no stream runs, which long prompts can use. */
-const IDLE_COST = 0.04;
+/** Cost of a server without short streams, which long prompts can use. */
+const UNPACKED_COST = 0.08;
+
+/** Short streams that are gathered on one server. */
+const PACKED_STREAMS = 6;
 
 /** Cost of a cold server. */
 const COLD_COST = 0.5;
@@ -91,7 +94,7 @@
       disturbance(candidate, query, prefillMs) +
       failureShare * FAILURE_COST +
       (isCold ? COLD_COST : 0) +
-      (load.running === 0 ? IDLE_COST : 0) +
+      UNPACKED_COST * (1 - Math.min(1, load.quickStreams / PACKED_STREAMS)) +
       CROWD_COST * (load.running / query.engine.slots) ** 4 +
       (server.zone === query.zone ? 0 : ZONE_COST)
     );
--- a/packages/decisions/src/serving/plan_heavy_prompt.ts
+++ b/packages/decisions/src/serving/plan_heavy_prompt.ts
@@ -27,6 +27,9 @@
 /** Share of a caller's time after which a late prompt goes first. */
 const OVERDUE_SHARE = 0.35;
 
+/** Milliseconds of waiting that the pauses of one short stream are worth. */
+const STREAM_WORTH_MS = 400;
+
 /** Ranks of prompts that can't be on time come after all others. */
 const LATE_RANK = 1_000_000;
 
@@ -80,8 +83,12 @@
   totalMs: number,
 ): PromptPlan {
   const servers = heavyServers(candidates);
-  const free = servers.filter(({load}) => load.backlogMs <= FREE_BACKLOG_MS);
   const {waitedMs, targetMs, patienceMs, bestOtherRank} = query;
+  const streamsMax = waitedMs / STREAM_WORTH_MS;
+  const free = servers.filter(
+    ({load}) =>
+      load.backlogMs <= FREE_BACKLOG_MS && load.quickStreams <= streamsMax,
+  );
   const targetLeftMs = (targetMs - waitedMs) * TARGET_SHARE;
   const patienceLeftMs = patienceMs - waitedMs;
   const soonestMs = earliestMs(servers, totalMs);
@@ -102,7 +109,7 @@
   const leftMs = canBeOnTime ? targetLeftMs : patienceLeftMs * LATE_SHARE;
   const enough = Math.ceil(totalMs / Math.max(1, leftMs));
   const mayStart = free.length >= enough && rank <= bestOtherRank;
-  const generous = Math.ceil(free.length * GENEROUS_SHARE);
+  const generous = canBeOnTime ? Math.ceil(free.length * GENEROUS_SHARE) : 0;
   const start = mayStart
     ? startOn(free, query, Math.max(enough, generous))
     : undefined;
--- a/packages/gateway/src/calls/call_outcome.ts
+++ b/packages/gateway/src/calls/call_outcome.ts
@@ -8,9 +8,11 @@
   readonly serverId?: string;
   readonly attempts: number;
   /** Other servers that read parts of the prompt. */
-  readonly parts: number;
+  readonly helpers: readonly string[];
   /** Predicted time until the first event, in milliseconds. */
   readonly predictedMs: number;
   readonly firstEventMs?: number;
+  /** Longest pause between events of a stream, in milliseconds. */
+  readonly longestPauseMs: number;
   readonly totalMs: number;
 }
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -71,6 +71,8 @@
   /** Event id that index 0 stands for. */
   private firstId?: number;
   private firstEventAt?: number;
+  private lastEventAt?: number;
+  private longestPauseMs = 0;
   private outcome: CallOutcome['result'] = 'gone';
   private failure?: Failure;
   private isClosed = false;
@@ -270,6 +272,7 @@
     },
     events: ({firstId, texts}, attemptId) => {
       this.firstId ??= firstId;
+      this.noteEvent();
       this.notePrefilled(attemptId);
       const index = firstId - this.firstId;
       this.step({type: 'tokens', attemptId, index, texts});
@@ -316,8 +319,15 @@
     this.step({type: 'failed', attemptId, failure, crashed: false});
   }
 
+  private noteEvent(): void {
+    const now = this.parts.now();
+    this.firstEventAt ??= now;
+    const pauseMs = now - (this.lastEventAt ?? now);
+    this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+    this.lastEventAt = now;
+  }
+
   private notePrefilled(attemptId: string): void {
-    this.firstEventAt ??= this.parts.now();
     if (this.hasPrefilled) return;
     this.hasPrefilled = true;
     const {fleet} = this.parts;
@@ -366,12 +376,13 @@
       status: this.answer?.head.status ?? this.head?.status,
       serverId: this.state.agentId,
       attempts: this.attempt,
-      parts: this.placement?.parts.length ?? 0,
+      helpers: (this.placement?.parts ?? []).map(({serverId}) => serverId),
       predictedMs: this.placement?.firstEventMs ?? 0,
       firstEventMs:
         this.firstEventAt === undefined
           ? undefined
           : this.firstEventAt - spec.req.arrivedAt,
+      longestPauseMs: this.longestPauseMs,
       totalMs: now() - spec.req.arrivedAt,
     });
   }
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -197,10 +197,12 @@
       status: outcome.status,
       serverId: outcome.serverId,
       attempts: outcome.attempts,
-      parts: outcome.parts,
+      parts: outcome.helpers.length,
+      helpers: outcome.helpers.join(' '),
       promptTokens: req.prompt?.promptTokens,
       predictedMs: Math.round(outcome.predictedMs),
       firstEventMs: outcome.firstEventMs && Math.round(outcome.firstEventMs),
+      longestPauseMs: Math.round(outcome.longestPauseMs),
       totalMs: Math.round(outcome.totalMs),
       configVersion: this.configVersion(),
     });
