--- a/packages/decisions/src/serving/plan_heavy_prompt.ts
+++ b/packages/decisions/src/serving/plan_heavy_prompt.ts
@@ -62,6 +62,11 @@
   );
 }
 
+/** Worth of the streams that a long prompt on their server would disturb. */
+function streamWorth({streams}: Candidate['load']): number {
+  return streams.reduce((sum, {worth}) => sum + worth, 0);
+}
+
 function startOn(
   servers: readonly Candidate[],
   query: PromptQuery,
@@ -84,10 +89,10 @@
 ): PromptPlan {
   const servers = heavyServers(candidates);
   const {waitedMs, targetMs, patienceMs, bestOtherRank} = query;
-  const streamsMax = waitedMs / STREAM_WORTH_MS;
+  const worthMax = waitedMs / STREAM_WORTH_MS;
   const free = servers.filter(
     ({load}) =>
-      load.backlogMs <= FREE_BACKLOG_MS && load.quickStreams <= streamsMax,
+      load.backlogMs <= FREE_BACKLOG_MS && streamWorth(load) <= worthMax,
   );
   const targetLeftMs = (targetMs - waitedMs) * TARGET_SHARE;
   const patienceLeftMs = patienceMs - waitedMs;
--- a/packages/decisions/src/serving/server_health.ts
+++ b/packages/decisions/src/serving/server_health.ts
@@ -5,4 +5,6 @@
   readonly updatedAt: number;
   /** Time in milliseconds until which the server is left out. */
   readonly avoidUntil: number;
+  /** Times in a row that it could not be reached. */
+  readonly unreachable: number;
 }
--- a/packages/decisions/src/serving/server_healths.ts
+++ b/packages/decisions/src/serving/server_healths.ts
@@ -6,8 +6,11 @@
 /** Milliseconds after which half of the failure share is forgotten. */
 const HALF_LIFE_MS = 3_000;
 
-/** Milliseconds for which a server is left out after a lost connection. */
-const AVOID_MS = 1_000;
+/** Milliseconds for which a server is left out that could not be reached. */
+const AVOID_MIN_MS = 1_000;
+
+/** Largest number of milliseconds for which a server is left out. */
+const AVOID_MAX_MS = 4_000;
 
 type Outcome = 'answered' | 'failed' | 'unreachable';
 
@@ -16,20 +19,31 @@
   return health.failureShare * 0.5 ** halves;
 }
 
+function unreachable(health: ServerHealth, now: number): ServerHealth {
+  if (health.avoidUntil > now) return health;
+  const avoidMs = AVOID_MIN_MS * 2 ** health.unreachable;
+  return {
+    ...health,
+    avoidUntil: now + Math.min(AVOID_MAX_MS, avoidMs),
+    unreachable: health.unreachable + 1,
+  };
+}
+
 /** Health of a backend server as told by its answers, not by its probes. */
 export const serverHealths = {
   unknown(now: number): ServerHealth {
-    return {failureShare: 0, updatedAt: now, avoidUntil: 0};
+    return {failureShare: 0, updatedAt: now, avoidUntil: 0, unreachable: 0};
   },
 
   record(health: ServerHealth, outcome: Outcome, now: number): ServerHealth {
+    if (outcome === 'unreachable') return unreachable(health, now);
     const sample = outcome === 'answered' ? 0 : 1;
     const share = decayed(health, now) * (1 - SMOOTHING) + sample * SMOOTHING;
     return {
       failureShare: share,
       updatedAt: now,
-      avoidUntil:
-        outcome === 'unreachable' ? now + AVOID_MS : health.avoidUntil,
+      avoidUntil: outcome === 'answered' ? 0 : health.avoidUntil,
+      unreachable: outcome === 'answered' ? 0 : health.unreachable,
     };
   },
 
--- a/packages/decisions/src/serving/work_change.ts
+++ b/packages/decisions/src/serving/work_change.ts
@@ -10,4 +10,9 @@
       readonly workId: string;
       readonly rank: number;
     }
-  | {readonly type: 'end'; readonly workId: string};
+  | {readonly type: 'end'; readonly workId: string}
+  | {
+      /** A backend server that could not be reached. */
+      readonly type: 'unreachable';
+      readonly serverId: string;
+    };
--- a/packages/gateway/src/__tests__/gateway_call.test.ts
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -128,3 +128,34 @@
   expect(seen.failure?.kind).toEqual('deadline-exceeded');
   expect(attempts[0]?.cancelled).toEqual(true);
 });
+
+test('a server that lost a helper is not blamed, the helper is', () => {
+  const {attempts, serve, fleet} = gatewayFixture(['a', 'b', 'c']);
+  serve('/stream/x');
+  attempts[0]?.emit({type: 'sent'});
+  const blamed: string[] = [];
+  fleet.recordUnreachable = address => blamed.push(address);
+  attempts[0]?.emit({
+    type: 'refused',
+    failure: createFailure('queue-full', 'a helper is gone'),
+    unreachable: false,
+    faultyAddress: '10.0.0.9:80',
+  });
+  expect(blamed).toEqual(['10.0.0.9:80']);
+});
+
+test('refusals end after a few servers', () => {
+  const {attempts, serve} = gatewayFixture(['a', 'b', 'c', 'd', 'e', 'f']);
+  const {seen} = serve('/book/x');
+  const refuse = (i: number): void => {
+    attempts[i]?.emit({type: 'sent'});
+    attempts[i]?.emit({
+      type: 'refused',
+      failure: createFailure('queue-full', 'full'),
+      unreachable: false,
+    });
+  };
+  [0, 1, 2, 3, 4, 5].forEach(refuse);
+  expect(attempts.length).toEqual(4);
+  expect(seen.failure?.ran).toEqual('no');
+});
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -114,6 +114,10 @@
   private route(command: Extract<CallCommand, {readonly type: 'route'}>): void {
     const {spec, fleet, spendRetry} = this.parts;
     this.endAttempt();
+    if (this.attempt >= GATEWAY.OFFERS_MAX && this.state.lastFailure) {
+      const {lastFailure: failure} = this.state;
+      return this.step({type: 'not-routed', failure});
+    }
     const placed = fleet.place(spec, command.exclude);
     if (placed.isErr()) {
       return this.step({type: 'not-routed', failure: placed.error});
@@ -170,11 +174,12 @@
       }),
     );
     this.reservations = group;
-    const isGranted = await group.acquire();
+    const refusedBy = await group.acquire();
+    refusedBy.forEach(({id}) => fleet.record(id, 'unreachable'));
     const isCurrent =
       this.state.phase === 'opening' && this.state.attemptId === attemptId;
     if (!isCurrent) return group.release();
-    if (isGranted) return this.send(server, attemptId);
+    if (refusedBy.length === 0) return this.send(server, attemptId);
     this.refuse(attemptId, 'KV cache for the prompt could not be reserved.');
   }
 
@@ -262,8 +267,9 @@
 
   private readonly handlers: EventHandlers = {
     sent: (_event, attemptId) => this.step({type: 'accepted', attemptId}),
-    refused: ({failure, unreachable}, attemptId) => {
-      this.record(unreachable ? 'unreachable' : 'answered');
+    refused: ({failure, unreachable, faultyAddress}, attemptId) => {
+      if (unreachable) this.record('unreachable');
+      if (faultyAddress) this.parts.fleet.recordUnreachable(faultyAddress);
       this.note('refused', failure.message);
       this.step({type: 'refused', attemptId, failure});
     },
--- a/packages/gateway/src/calls/reservation_group.ts
+++ b/packages/gateway/src/calls/reservation_group.ts
@@ -19,18 +19,21 @@
     private readonly reservations: readonly Reservation[],
   ) {}
 
-  /** Reserves on all servers; frees all of them where one refuses. */
-  async acquire(): Promise<boolean> {
-    const granted = await this.reserveAll();
-    if (this.isReleased) return false;
-    if (!granted) {
+  /**
+   * Reserves on all servers and returns those that refused; where one did,
+   * all others are freed again.
+   */
+  async acquire(): Promise<readonly BackendServer[]> {
+    const refused = await this.reserveAll();
+    if (this.isReleased) return refused;
+    if (refused.length > 0) {
       this.release();
-      return false;
+      return refused;
     }
     this.timer = setInterval(() => {
       void this.reserveAll();
     }, GATEWAY.RENEW_MS);
-    return true;
+    return [];
   }
 
   release(): void {
@@ -42,7 +45,7 @@
     });
   }
 
-  private async reserveAll(): Promise<boolean> {
+  private async reserveAll(): Promise<readonly BackendServer[]> {
     const answers = await Promise.all(
       this.reservations.map(({server, reservationId, tokens}) =>
         this.client.reserve(server, {
@@ -52,6 +55,8 @@
         }),
       ),
     );
-    return answers.every(Boolean);
+    return this.reservations
+      .filter((_, i) => !answers[i])
+      .map(({server}) => server);
   }
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -1,7 +1,7 @@
 /** Constants of the gateway. */
 export const GATEWAY = {
-  /** Backend servers that may refuse before the caller is refused. */
-  OFFERS_MAX: 3,
+  /** Backend servers that one attempt of a caller is offered to. */
+  OFFERS_MAX: 4,
   /** Status of a backend server that ran a request up to its deadline. */
   TIMED_OUT_STATUS: 504,
   /** Milliseconds between checks of deadlines. */
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -33,6 +33,8 @@
   readonly announce: (change: WorkChange) => void;
 }
 
+type Outcome = Parameters<typeof serverHealths.record>[1];
+
 /** What an entry believes of the backend servers. */
 export class Fleet {
   private servers: readonly BackendServer[] = [];
@@ -142,6 +144,9 @@
       }
       case 'end':
         return fleetLoads.end(this.load, change.workId);
+      case 'unreachable':
+        this.noteOutcome(change.serverId, 'unreachable');
+        return this.load;
     }
   }
 
@@ -156,10 +161,22 @@
     this.load = fleetLoads.forget(this.load, owner, this.options.now());
   }
 
-  record(
-    serverId: string,
-    outcome: Parameters<typeof serverHealths.record>[1],
-  ): void {
+  /** Notes how an attempt at a server ended. */
+  record(serverId: string, outcome: Outcome): void {
+    if (outcome === 'unreachable') {
+      return this.change({type: 'unreachable', serverId});
+    }
+    this.noteOutcome(serverId, outcome);
+  }
+
+  /** Notes that the server at an address can't be reached. */
+  recordUnreachable(address: string): void {
+    this.servers
+      .filter(({host, port}) => `${host}:${port}` === address)
+      .forEach(({id}) => this.record(id, 'unreachable'));
+  }
+
+  private noteOutcome(serverId: string, outcome: Outcome): void {
     const now = this.options.now();
     const health = this.health.get(serverId) ?? serverHealths.unknown(now);
     this.health.set(serverId, serverHealths.record(health, outcome, now));
