fix(decisions): late servers count as busy; long prompts are not refused early

After a restart of all entries, servers were busy with work that no entry knew of, and each short prompt found that out by itself.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -118,3 +118,4 @@
 export * from './serving/work_change.js';
 export * from './serving/server_roster.js';
 export * from './serving/prompt_worth.js';
+export * from './serving/divide_servers.js';
--- /dev/null
+++ b/packages/decisions/src/serving/__tests__/fleet_loads.test.ts
@@ -0,0 +1,63 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import {fleetLoads} from '../fleet_loads.js';
+import type {WorkItem} from '../work_item.js';
+
+function work(workId: string, options: Partial<WorkItem> = {}): WorkItem {
+  return {
+    workId,
+    serverId: 'a',
+    memoryTokens: 5_000,
+    prefillMs: 100,
+    pauseMs: 250,
+    worth: 1,
+    decodes: true,
+    ...options,
+  };
+}
+
+test('backlog is the prefill of all work that is not yet read', () => {
+  const one = fleetLoads.start(fleetLoads.empty(), work('1'), 'me', 0);
+  const two = fleetLoads.start(one, work('2'), 'me', 0);
+  expect(fleetLoads.of(two, 'a', 40).backlogMs).toEqual(160);
+  const read = fleetLoads.prefilled(two, '1');
+  expect(fleetLoads.of(read, 'a', 40).backlogMs).toEqual(60);
+});
+
+test('a server that is later than its work explains counts as busy', () => {
+  const load = fleetLoads.start(fleetLoads.empty(), work('1'), 'me', 0);
+  expect(fleetLoads.of(load, 'a', 250).backlogMs).toEqual(0);
+  expect(fleetLoads.of(load, 'a', 1_000).backlogMs).toEqual(700);
+});
+
+test('parts take memory and prefill but are no streams', () => {
+  const part = work('1', {decodes: false});
+  const load = fleetLoads.start(fleetLoads.empty(), part, 'me', 0);
+  const {running, memoryTokens, streams} = fleetLoads.of(load, 'a', 0);
+  expect({running, memoryTokens, streams: streams.length}).toEqual({
+    running: 0,
+    memoryTokens: 5_000,
+    streams: 0,
+  });
+});
+
+test('the work and waits of an entry that is gone are forgotten', () => {
+  const mine = fleetLoads.start(fleetLoads.empty(), work('1'), 'me', 0);
+  const both = fleetLoads.start(mine, work('2'), 'other', 0);
+  const waiting = fleetLoads.wait(both, 'r3', {owner: 'other', rank: 5}, 0);
+  expect(fleetLoads.bestRank(waiting, 'r1')).toEqual(5);
+  const left = fleetLoads.forget(waiting, 'other', 10);
+  expect(fleetLoads.of(left, 'a', 10).running).toEqual(1);
+  expect(fleetLoads.bestRank(left, 'r1')).toEqual(Infinity);
+});
+
+test('an entry tells another all of its work', () => {
+  const load = fleetLoads.prefilled(
+    fleetLoads.start(fleetLoads.empty(), work('1'), 'me', 0),
+    '1',
+  );
+  expect(fleetLoads.ownedBy(load, 'me')).toEqual([
+    {type: 'start', work: work('1')},
+    {type: 'prefilled', workId: '1'},
+  ]);
+});
--- a/packages/decisions/src/serving/__tests__/plan_prompt.test.ts
+++ b/packages/decisions/src/serving/__tests__/plan_prompt.test.ts
@@ -94,3 +94,11 @@
 test('nothing is placed without servers', () => {
   expect(planPrompt([], query(5_000))).toEqual(undefined);
 });
+
+test('a long prompt waits, and is not refused, while short ones fill all servers', () => {
+  const plan = planPrompt(
+    fleet(16, {...STREAMS, quickStreams: 8, running: 8, backlogMs: 90}),
+    query(250_000, LONG),
+  );
+  expect(plan?.type).toEqual('wait');
+});
--- a/packages/decisions/src/serving/fleet_loads.ts
+++ b/packages/decisions/src/serving/fleet_loads.ts
@@ -11,6 +11,9 @@
 /** Longest prefill in milliseconds of a short prompt. */
 const QUICK_PREFILL_MS = 160;
 
+/** Milliseconds beyond its prefill within which work is not late. */
+const LATENESS_MS = 200;
+
 /** Milliseconds over which recent sends are counted. */
 const RECENT_MS = 1_000;
 
@@ -37,13 +40,18 @@
     : mapWith(load.byServer, serverId, works);
 }
 
-/** Prefill left on a server that prefills one prompt after another. */
+/**
+ * Prefill left on a server that prefills one prompt after another. A server
+ * that is later than its work explains has work that no entry knows of, or is
+ * in trouble; it is taken to need as long again.
+ */
 function backlogMs(works: Works, now: number): number {
   const waiting = [...works.values()].filter(work => !work.prefilled);
   if (waiting.length === 0) return 0;
   const totalMs = waiting.reduce((sum, work) => sum + work.prefillMs, 0);
   const since = Math.min(...waiting.map(work => work.startedAt));
-  return Math.max(0, totalMs - (now - since));
+  const lateMs = now - since - totalMs - LATENESS_MS;
+  return Math.max(0, totalMs - (now - since), lateMs);
 }
 
 /** Work that entries know of, on all backend servers. */
--- a/packages/decisions/src/serving/plan_prompt.ts
+++ b/packages/decisions/src/serving/plan_prompt.ts
@@ -57,7 +57,11 @@
     ({load, isCold}) => load.backlogMs <= LIGHT_BACKLOG_MS && !isCold,
   );
   const countMin = isLight ? 1 : Math.ceil(totalMs / LIGHT_PART_MS);
-  const light = cheapestSplit(isLight ? candidates : calm, query, countMin);
-  if (light) return {type: 'start', placement: light};
-  return isLight ? undefined : planHeavyPrompt(candidates, query, totalMs);
+  if (!isLight) {
+    const light = cheapestSplit(calm, query, countMin);
+    if (light) return {type: 'start', placement: light};
+    return planHeavyPrompt(candidates, query, totalMs);
+  }
+  const placement = cheapestSplit(candidates, query, 1);
+  return placement && {type: 'start', placement};
 }
