--- a/packages/gateway/src/__tests__/gateway_call.test.ts
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -159,3 +159,15 @@
   expect(attempts.length).toEqual(4);
   expect(seen.failure?.ran).toEqual('no');
 });
+
+test('an entry that shuts down refuses what it could not finish', () => {
+  const {attempts, serve, core} = gatewayFixture();
+  core.leave();
+  serve('/book/x');
+  expect(attempts.length).toEqual(1);
+  core.refuseNew();
+  const {seen} = serve('/book/y');
+  expect(attempts.length).toEqual(1);
+  expect(seen.failure?.kind).toEqual('leaving');
+  expect(seen.failure?.ran).toEqual('no');
+});
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -5,6 +5,7 @@
   ServingConfig,
 } from '@figfall/decisions';
 import type {Logger} from '@figfall/observability';
+import {err} from 'neverthrow';
 import {buildSpec} from '../calls/build_spec.js';
 import type {CallOutcome} from '../calls/call_outcome.js';
 import type {CallSpec} from '../calls/call_spec.js';
@@ -51,6 +52,7 @@
   private readonly budgets = new Map<string, Budget>();
   private config?: ServingConfig;
   private isLeaving = false;
+  private isClosed = false;
   private entries = 1;
 
   constructor(private readonly options: GatewayCoreOptions) {}
@@ -85,10 +87,16 @@
     return this.config !== undefined && !this.isLeaving;
   }
 
+  /** Says that the entry is not ready for new callers. */
   leave(): void {
     this.isLeaving = true;
   }
 
+  /** Refuses requests from now on, because they could not be finished. */
+  refuseNew(): void {
+    this.isClosed = true;
+  }
+
   isBusy(): boolean {
     return this.calls.size > 0;
   }
@@ -100,7 +108,9 @@
   /** Serves one attempt of a caller. */
   serve(req: CallerRequest, sink: AnswerSink): OpenCall {
     const {random, metrics, logger, fleet, client, now} = this.options;
-    const built = buildSpec(this.config, req, random);
+    const built = this.isClosed
+      ? err(createFailure('leaving', 'The entry is shutting down.'))
+      : buildSpec(this.config, req, random);
     if (built.isErr()) {
       const {kind, message} = built.error;
       metrics.requests.inc({route: '', result: kind});
@@ -139,14 +149,6 @@
     };
   }
 
-  /** Fails all requests that are still under way. */
-  abort(): void {
-    const failure = createFailure('leaving', 'The entry is shutting down.');
-    [...this.calls.values()].forEach(call =>
-      call.step({type: 'not-routed', failure: {...failure, ran: 'unknown'}}),
-    );
-  }
-
   private retryOptions() {
     const {ratio, slack} = this.options.retry;
     return {
