--- a/packages/decisions/src/serving/__tests__/plan_fixture.ts
+++ b/packages/decisions/src/serving/__tests__/plan_fixture.ts
@@ -19,6 +19,7 @@
   running: 0,
   decoding: 0,
   backlogMs: 0,
+  knownBacklogMs: 0,
   memoryTokens: 0,
   streams: [],
   startedLately: 0,
--- a/packages/decisions/src/serving/fleet_loads.ts
+++ b/packages/decisions/src/serving/fleet_loads.ts
@@ -21,6 +21,7 @@
   running: 0,
   decoding: 0,
   backlogMs: 0,
+  knownBacklogMs: 0,
   memoryTokens: 0,
   streams: [],
   startedLately: 0,
@@ -45,13 +46,14 @@
  * that is later than its work explains has work that no entry knows of, or is
  * in trouble; it is taken to need as long again.
  */
-function backlogMs(works: Works, now: number): number {
+function backlogOf(works: Works, now: number) {
   const waiting = [...works.values()].filter(work => !work.prefilled);
-  if (waiting.length === 0) return 0;
+  if (waiting.length === 0) return {backlogMs: 0, knownBacklogMs: 0};
   const totalMs = waiting.reduce((sum, work) => sum + work.prefillMs, 0);
   const since = Math.min(...waiting.map(work => work.startedAt));
   const lateMs = now - since - totalMs - LATENESS_MS;
-  return Math.max(0, totalMs - (now - since), lateMs);
+  const knownBacklogMs = Math.max(0, totalMs - (now - since));
+  return {backlogMs: Math.max(knownBacklogMs, lateMs), knownBacklogMs};
 }
 
 /** Work that entries know of, on all backend servers. */
@@ -171,7 +173,7 @@
     return {
       running: own.length,
       decoding: decoding.length,
-      backlogMs: backlogMs(works, now),
+      ...backlogOf(works, now),
       memoryTokens: all.reduce((sum, work) => sum + work.memoryTokens, 0),
       streams: own.map(({pauseMs, worth}) => ({pauseMs, worth})),
       startedLately: all.filter(isRecent).length,
--- a/packages/decisions/src/serving/server_load.ts
+++ b/packages/decisions/src/serving/server_load.ts
@@ -6,6 +6,8 @@
   readonly decoding: number;
   /** Milliseconds of prefill that are still ahead. */
   readonly backlogMs: number;
+  /** The part of it that known work explains. */
+  readonly knownBacklogMs: number;
   /** KV cache in tokens that running work takes. */
   readonly memoryTokens: number;
   /** Streams that run, or will once their prompts are read. */
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -312,9 +312,9 @@
   /** True while known work of the server explains its silence. */
   private isExplained(): boolean {
     const {agentId, heardAt} = this.state;
-    const backlogMs = agentId ? this.parts.fleet.loadOf(agentId).backlogMs : 0;
+    const {knownBacklogMs} = this.parts.fleet.loadOf(agentId ?? '');
     const silentMs = this.parts.now() - heardAt;
-    return silentMs < this.options.progressMs + backlogMs;
+    return silentMs < this.options.progressMs + knownBacklogMs;
   }
 
   /** A stream can't go on with an answer that is no stream. */
--- a/packages/gateway/src/peers/open_peers.ts
+++ b/packages/gateway/src/peers/open_peers.ts
@@ -18,11 +18,17 @@
   readonly now: () => number;
   /** Learns how many other entries are linked. */
   readonly onCount: (count: number) => void;
+  /** Learns the newest change of a kind that another entry has seen. */
+  readonly onSeen: (kind: string, revision: number) => void;
 }
 
 interface Peers {
   /** Tells all linked entries of this entry's work. */
   readonly announce: (change: WorkChange) => void;
+  /** Tells all linked entries of the newest change of a kind. */
+  readonly tellSeen: (kind: string, revision: number) => void;
+  /** Place of this entry in an order of all linked ones. */
+  readonly rank: () => number;
   /** Forgets entries that are long gone. */
   readonly tick: () => void;
 }
@@ -44,6 +50,11 @@
       if (message.type === 'work') {
         message.changes.forEach(change => fleet.hear(change, owner));
       }
+      if (message.type === 'seen') {
+        Object.entries(message.revisions).forEach(([kind, revision]) =>
+          options.onSeen(kind, revision),
+        );
+      }
       if (message.type === 'entries') table.learn(message.addresses);
       return link.consumed(stream, cost);
     }
@@ -83,6 +94,8 @@
     table.start(pool.setPeers);
     return {
       announce: change => table.announce(change),
+      tellSeen: (kind, revision) => table.tellSeen(kind, revision),
+      rank: () => table.rank(),
       tick: () => table.tick(),
     };
   });
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -28,6 +28,8 @@
   private readonly knownAt = new Map<string, number>();
   private readonly addresses = new Map<string, EntryAddress>();
   private readonly links = new Set<Link>();
+  /** Newest change seen here, by the kind of object. */
+  private seen: Readonly<Record<string, number>> = {};
   private outbox: WorkChange[] = [];
   private setPeers: (peers: readonly PeerAddress[]) => void = () => undefined;
 
@@ -63,6 +65,21 @@
     link.send(WORK_STREAM, {type: 'work', changes});
   }
 
+  /** Tells all linked entries of the newest change of a kind. */
+  tellSeen(kind: string, revision: number): void {
+    this.seen = {...this.seen, [kind]: revision};
+    this.links.forEach(link => this.sendSeen(link));
+  }
+
+  /**
+   * Place of this entry in an order of all linked ones that all agree on.
+   */
+  rank(): number {
+    const own = idOf(this.options.address);
+    return [...this.links].filter(link => (link.peer()?.id ?? own) < own)
+      .length;
+  }
+
   unlinked(link: Link): void {
     this.links.delete(link);
   }
@@ -76,6 +93,7 @@
   }
 
   tick(): void {
+    this.links.forEach(link => this.sendSeen(link));
     const now = this.options.now();
     const seeds = this.options.seeds.map(idOf);
     const linkedHosts = [...this.links].map(link => link.peer()?.id);
@@ -104,6 +122,10 @@
     link.send(WORK_STREAM, {type: 'entries', addresses});
   }
 
+  private sendSeen(link: Link): void {
+    link.send(WORK_STREAM, {type: 'seen', revisions: this.seen});
+  }
+
   private flush(): void {
     const changes = this.outbox;
     this.outbox = [];
--- a/packages/node-link/src/messages/peer_message.ts
+++ b/packages/node-link/src/messages/peer_message.ts
@@ -92,6 +92,11 @@
       readonly type: 'work';
       readonly changes: readonly WorkChange[];
     }
+  | {
+      /** Newest changes that an entry has seen in the metadata store. */
+      readonly type: 'seen';
+      readonly revisions: Readonly<Record<string, number>>;
+    }
   | {
       /** Link addresses of entries that the sender knows. */
       readonly type: 'entries';
