--- a/eslint.config.js
+++ b/eslint.config.js
@@ -50,7 +50,7 @@
     },
   },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       'no-restricted-imports': [
         'error',
@@ -58,6 +58,10 @@
       ],
     },
   },
+  {
+    files: ['packages/**/*.ts', 'playground/**/*.ts', 'bench/**/*.ts'],
+    rules: {'house/no-wire-names': 'error'},
+  },
   {
     files: ['packages/decisions/src/**/*.ts'],
     ignores: ['**/__tests__/**'],
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -49,6 +49,7 @@
 export * from './door/running_call.js';
 export * from './calls/call_command.js';
 export * from './calls/call_event.js';
+export * from './calls/call_executors.js';
 export * from './calls/call_links.js';
 export * from './calls/call_machine.js';
 export * from './calls/call_options.js';
--- a/packages/figfall/src/entry/entry_call.ts
+++ b/packages/figfall/src/entry/entry_call.ts
@@ -2,6 +2,7 @@
 import type {
   CallCommand,
   CallEvent,
+  CallExecutors,
   CallOptions,
   CallState,
 } from '@figfall/decisions';
@@ -41,12 +42,6 @@
   }
 >;
 
-type Executors = {
-  readonly [Type in CallCommand['type']]: (
-    command: Extract<CallCommand, {readonly type: Type}>,
-  ) => void;
-};
-
 /** One request at an entry; only the entry's task calls it. */
 export class EntryCall {
   private readonly options: CallOptions;
@@ -196,7 +191,7 @@
     this.parts.onEnd();
   }
 
-  private readonly executors: Executors = {
+  private readonly executors: CallExecutors = {
     route: command => this.route(command),
     open: command => {
       const link = this.parts.linkTo(command.agentId);
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -7,13 +7,12 @@
 import type {Logger} from '@figfall/observability';
 import {err} from 'neverthrow';
 import {buildSpec} from '../calls/build_spec.js';
-import type {CallOutcome} from '../calls/call_outcome.js';
-import type {CallSpec} from '../calls/call_spec.js';
 import {GatewayCall} from '../calls/gateway_call.js';
 import {GATEWAY} from '../constants.js';
 import type {AnswerSink} from '../ports/answer_sink.js';
 import type {BackendClient} from '../ports/backend_client.js';
 import type {CallerRequest} from '../ports/caller_request.js';
+import {createCallLog} from './create_call_log.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {Fleet} from './fleet.js';
 
@@ -55,7 +54,14 @@
   private isClosed = false;
   private entries = 1;
 
-  constructor(private readonly options: GatewayCoreOptions) {}
+  private readonly log: ReturnType<typeof createCallLog>;
+
+  constructor(private readonly options: GatewayCoreOptions) {
+    this.log = createCallLog({
+      ...options,
+      configVersion: () => this.configVersion(),
+    });
+  }
 
   /** Puts a configuration in force unless a newer one is. */
   configure(config: ServingConfig): boolean {
@@ -107,19 +113,12 @@
 
   /** Serves one attempt of a caller. */
   serve(req: CallerRequest, sink: AnswerSink): OpenCall {
-    const {random, metrics, logger, fleet, client, now} = this.options;
+    const {random, fleet, client, now} = this.options;
     const built = this.isClosed
       ? err(createFailure('leaving', 'The entry is shutting down.'))
       : buildSpec(this.config, req, random);
     if (built.isErr()) {
-      const {kind, message} = built.error;
-      metrics.requests.inc({route: '', result: kind});
-      logger.info('request refused', {
-        requestId: req.requestId,
-        kind,
-        reason: message,
-        configVersion: this.configVersion(),
-      });
+      this.log.refused(req.requestId, built.error);
       sink.fail(built.error);
       return NO_CALL;
     }
@@ -134,12 +133,11 @@
       client,
       now,
       spendRetry: service => this.spendRetry(service),
-      onAttemptEnd: ({requestId, serverId, result, reason}) =>
-        logger.info('attempt ended', {requestId, serverId, result, reason}),
+      trace: this.log.trace,
       onEnd: outcome => {
         hasEnded = true;
         this.calls.delete(callId);
-        this.report(spec, outcome);
+        this.log.ended(spec, outcome);
       },
     });
     if (!hasEnded) this.calls.set(callId, call);
@@ -176,37 +174,4 @@
     });
     return spent.allowed;
   }
-
-  private report(spec: CallSpec, outcome: CallOutcome): void {
-    const {metrics, logger} = this.options;
-    const {req, route, service} = spec;
-    const result = outcome.failure?.kind ?? outcome.result;
-    metrics.requests.inc({route: route.name, result});
-    metrics.seconds.observe({route: route.name}, outcome.totalMs / 1_000);
-    if (outcome.firstEventMs !== undefined) {
-      metrics.firstEventSeconds.observe(
-        {route: route.name},
-        outcome.firstEventMs / 1_000,
-      );
-    }
-    logger.info('request ended', {
-      requestId: req.requestId,
-      route: route.name,
-      service: service.name,
-      result,
-      ran: outcome.failure?.ran,
-      reason: outcome.failure?.message,
-      status: outcome.status,
-      serverId: outcome.serverId,
-      attempts: outcome.attempts,
-      parts: outcome.helpers.length,
-      helpers: outcome.helpers.join(' '),
-      promptTokens: req.prompt?.promptTokens,
-      predictedMs: Math.round(outcome.predictedMs),
-      firstEventMs: outcome.firstEventMs && Math.round(outcome.firstEventMs),
-      longestPauseMs: Math.round(outcome.longestPauseMs),
-      totalMs: Math.round(outcome.totalMs),
-      configVersion: this.configVersion(),
-    });
-  }
 }
--- a/packages/gateway/src/ports/backend_request.ts
+++ b/packages/gateway/src/ports/backend_request.ts
@@ -24,6 +24,4 @@
   readonly helpers: readonly Helper[];
   /** Rank at a model engine, from 0, which goes first, to 9. */
   readonly priority?: number;
-  /** True where the request must not travel on a connection that may be stale. */
-  readonly needsFreshConnection: boolean;
 }
--- a/scripts/house_rules.mjs
+++ b/scripts/house_rules.mjs
@@ -24,5 +24,29 @@
   },
 };
 
+/** Names of the users' platform that only its adapter may know. */
+const WIRE_NAMES =
+  /x-(attempt-id|response-seal|expected-instance|deadline-milliseconds|token-counts|prompt-prefix|not-executed|tenant|helpers)|kvCacheTotal|\/-\/(objects|report|order|readiness)/i;
+
+const noWireNames = {
+  meta: {
+    type: 'problem',
+    schema: [],
+    messages: {wire: 'Only platform/ may know names of the platform.'},
+  },
+  create(context) {
+    const check = (node, text) => {
+      if (WIRE_NAMES.test(text)) context.report({node, messageId: 'wire'});
+    };
+    return {
+      Identifier: node => check(node, node.name),
+      Literal: node => check(node, String(node.value)),
+      TemplateElement: node => check(node, node.value.raw),
+    };
+  },
+};
+
 /** Lint rules of this repository that no published plugin has. */
-export const houseRules = {rules: {'one-export': oneExport}};
+export const houseRules = {
+  rules: {'one-export': oneExport, 'no-wire-names': noWireNames},
+};
