--- /dev/null
+++ b/packages/decisions/src/serving/__tests__/eligible_servers.test.ts
@@ -0,0 +1,113 @@
+import {test} from 'node:test';
+import {expect} from 'earl';
+import type {BackendServer} from '../backend_server.js';
+import {eligibleServers} from '../eligible_servers.js';
+import {fleetLoads} from '../fleet_loads.js';
+import type {ServerHealth} from '../server_health.js';
+import {serverHealths} from '../server_healths.js';
+
+const NOW = 1_000;
+
+function server(id: string, options: Partial<BackendServer> = {}) {
+  return {
+    id,
+    service: 's',
+    host: '127.0.0.1',
+    port: 1,
+    zone: 'nord',
+    state: 'ready' as const,
+    slots: 8,
+    coldUntil: 0,
+    ...options,
+  };
+}
+
+function eligible(
+  servers: readonly BackendServer[],
+  options: Partial<Parameters<typeof eligibleServers>[0]> = {},
+): readonly string[] {
+  const fleet = {
+    servers,
+    load: fleetLoads.empty(),
+    health: new Map<string, ServerHealth>(),
+    zonesOut: new Set<string>(),
+    ...options,
+  };
+  return eligibleServers(
+    fleet,
+    {name: 's', coldPerSecond: 10},
+    ['excluded'],
+    NOW,
+  ).map(candidate => candidate.server.id);
+}
+
+test('servers that leave, are excluded, out or of other services are left out', () => {
+  const servers = [
+    server('a'),
+    server('leaving', {state: 'draining'}),
+    server('other', {service: 'x'}),
+    server('out', {zone: 'werk'}),
+    server('excluded'),
+  ];
+  expect(eligible(servers, {zonesOut: new Set(['werk'])})).toEqual(['a']);
+});
+
+test('a cold server gets no more in a second than its declared rate', () => {
+  const cold = server('cold', {coldUntil: NOW + 500});
+  const sends = Array.from({length: 7}, (_, i) => i);
+  const load = sends.reduce(
+    (rest, i) =>
+      fleetLoads.start(
+        rest,
+        {
+          workId: `${i}`,
+          serverId: 'cold',
+          memoryTokens: 1,
+          prefillMs: 1,
+          pauseMs: 250,
+          worth: 1,
+          decodes: true,
+        },
+        i % 2 === 0 ? 'me' : 'other',
+        NOW - 100,
+      ),
+    fleetLoads.empty(),
+  );
+  expect(eligible([cold], {load})).toEqual(['cold']);
+  const full = fleetLoads.start(
+    load,
+    {
+      workId: 'last',
+      serverId: 'cold',
+      memoryTokens: 1,
+      prefillMs: 1,
+      pauseMs: 250,
+      worth: 1,
+      decodes: true,
+    },
+    'other',
+    NOW,
+  );
+  expect(eligible([cold], {load: full})).toEqual([]);
+});
+
+test('a server out of reach is used only where there is no other', () => {
+  const health = new Map([
+    ['a', serverHealths.record(serverHealths.unknown(NOW), 'unreachable', NOW)],
+  ]);
+  expect(eligible([server('a'), server('b')], {health})).toEqual(['b']);
+  expect(eligible([server('a')], {health})).toEqual(['a']);
+});
+
+test('a server that fails to be reached is left out for longer each time', () => {
+  const once = serverHealths.record(
+    serverHealths.unknown(NOW),
+    'unreachable',
+    NOW,
+  );
+  const twice = serverHealths.record(once, 'unreachable', once.avoidUntil);
+  expect(once.avoidUntil - NOW).toEqual(1_000);
+  expect(twice.avoidUntil - once.avoidUntil).toEqual(2_000);
+  const back = serverHealths.record(twice, 'answered', twice.avoidUntil);
+  expect(back.avoidUntil).toEqual(0);
+});
--- /dev/null
+++ b/packages/gateway/src/__tests__/reservation_group.test.ts
@@ -0,0 +1,80 @@
+import {mock, test} from 'node:test';
+import type {BackendServer} from '@figfall/decisions';
+import {expect} from 'earl';
+import {ReservationGroup} from '../calls/reservation_group.js';
+import {GATEWAY} from '../constants.js';
+import type {BackendClient} from '../ports/backend_client.js';
+
+function server(id: string): BackendServer {
+  return {
+    id,
+    service: 's',
+    host: '127.0.0.1',
+    port: 1,
+    zone: 'nord',
+    state: 'ready',
+    slots: 1,
+    coldUntil: 0,
+  };
+}
+
+function setUp(refusing: readonly string[] = []) {
+  const calls: string[] = [];
+  const client: BackendClient = {
+    send: () => {
+      throw new Error('nothing is sent');
+    },
+    reserve: ({id}, {holdMs}) => {
+      calls.push(`reserve ${id} ${holdMs}`);
+      return Promise.resolve(!refusing.includes(id));
+    },
+    release: ({id}) => {
+      calls.push(`release ${id}`);
+      return Promise.resolve(true);
+    },
+    keepOnly: () => undefined,
+  };
+  const group = new ReservationGroup(
+    client,
+    ['a', 'b'].map(id => ({
+      server: server(id),
+      reservationId: 'r1',
+      tokens: 100,
+    })),
+  );
+  return {calls, group};
+}
+
+const RESERVE = ['a', 'b'].map(id => `reserve ${id} ${GATEWAY.RESERVATION_MS}`);
+const RELEASE = ['release a', 'release b'];
+
+test('all reservations are freed where one is refused', async () => {
+  const {calls, group} = setUp(['b']);
+  const refused = await group.acquire();
+  expect(refused.map(({id}) => id)).toEqual(['b']);
+  expect(calls).toEqual([...RESERVE, ...RELEASE]);
+});
+
+test('reservations are renewed until they are released, once', async () => {
+  mock.timers.enable({apis: ['setInterval']});
+  const {calls, group} = setUp();
+  await group.acquire();
+  mock.timers.tick(GATEWAY.RENEW_MS);
+  expect(calls).toEqual([...RESERVE, ...RESERVE]);
+  group.release();
+  group.release();
+  mock.timers.tick(GATEWAY.RENEW_MS * 5);
+  expect(calls).toEqual([...RESERVE, ...RESERVE, ...RELEASE]);
+  mock.timers.reset();
+});
+
+test('a release during the reservation leaves no renewal behind', async () => {
+  mock.timers.enable({apis: ['setInterval']});
+  const {calls, group} = setUp();
+  const acquired = group.acquire();
+  group.release();
+  await acquired;
+  mock.timers.tick(GATEWAY.RENEW_MS * 3);
+  expect(calls).toEqual([...RESERVE, ...RELEASE]);
+  mock.timers.reset();
+});
