--- a/packages/decisions/src/serving/__tests__/plan_fixture.ts
+++ b/packages/decisions/src/serving/__tests__/plan_fixture.ts
@@ -24,7 +24,6 @@
   streams: [],
   startedLately: 0,
   quickStreams: 0,
-  quickLately: 0,
 };
 
 function candidate(id: string, load: Partial<ServerLoad> = {}): Candidate {
--- a/packages/decisions/src/serving/fleet_loads.ts
+++ b/packages/decisions/src/serving/fleet_loads.ts
@@ -26,7 +26,6 @@
   streams: [],
   startedLately: 0,
   quickStreams: 0,
-  quickLately: 0,
 };
 
 type Works = NonNullable<ReturnType<FleetLoad['byServer']['get']>>;
@@ -178,7 +177,6 @@
       streams: own.map(({pauseMs, worth}) => ({pauseMs, worth})),
       startedLately: all.filter(isRecent).length,
       quickStreams: quick.length,
-      quickLately: quick.filter(isRecent).length,
     };
   },
 };
--- a/packages/decisions/src/serving/server_load.ts
+++ b/packages/decisions/src/serving/server_load.ts
@@ -20,6 +20,4 @@
   readonly startedLately: number;
   /** Streams with short prompts. */
   readonly quickStreams: number;
-  /** Streams with short prompts sent in the last second. */
-  readonly quickLately: number;
 }
--- a/packages/gateway/src/__tests__/gateway_call.test.ts
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -26,7 +26,7 @@
   attempts[0]?.emit({type: 'sent'});
   attempts[0]?.emit({type: 'head', head: head(200)});
   attempts[0]?.emit({type: 'events', firstId: 5, texts: ['5', '6']});
-  attempts[0]?.emit({type: 'failed', reason: 'reset', disconnected: true});
+  attempts[0]?.emit({type: 'failed', reason: 'reset'});
   expect(attempts[1]?.req.lastEventId).toEqual(6);
   expect(attempts[1]?.req.server.id).not.toEqual(attempts[0]?.req.server.id);
   attempts[1]?.emit({type: 'sent'});
@@ -42,7 +42,7 @@
   attempts[0]?.emit({type: 'sent'});
   attempts[0]?.emit({type: 'head', head: head(200)});
   attempts[0]?.emit({type: 'events', firstId: 0, texts: ['0']});
-  attempts[0]?.emit({type: 'failed', reason: 'reset', disconnected: true});
+  attempts[0]?.emit({type: 'failed', reason: 'reset'});
   attempts[1]?.emit({type: 'sent'});
   attempts[1]?.emit({type: 'answer', head: head(500), body: Buffer.from('no')});
   expect(seen.text).toEqual('0');
@@ -54,7 +54,7 @@
   const {attempts, serve} = gatewayFixture();
   const {seen} = serve('/book/x');
   attempts[0]?.emit({type: 'sent'});
-  attempts[0]?.emit({type: 'failed', reason: 'reset', disconnected: true});
+  attempts[0]?.emit({type: 'failed', reason: 'reset'});
   expect(attempts.length).toEqual(1);
   expect(seen.failure?.ran).toEqual('unknown');
 });
--- /dev/null
+++ b/packages/gateway/src/__tests__/peer_table.test.ts
@@ -0,0 +1,74 @@
+import {mock, test} from 'node:test';
+import type {Link, PeerMessage} from '@figfall/node-link';
+import {expect} from 'earl';
+import {GATEWAY} from '../constants.js';
+import {PeerTable} from '../peers/peer_table.js';
+import {gatewayFixture} from './gateway_fixture.js';
+
+const OWN = {host: '10.0.0.2', port: 1};
+const SEED = {host: '10.0.0.1', port: 1};
+const OTHER = {host: '10.0.0.3', port: 1};
+
+function setUp() {
+  const {fleet, clock} = gatewayFixture();
+  const table = new PeerTable({
+    address: OWN,
+    seeds: [SEED],
+    fleet,
+    now: () => clock.now,
+  });
+  const dialled: string[][] = [];
+  table.start(peers => dialled.push(peers.map(({id}) => id)));
+  return {table, dialled, clock};
+}
+
+function fakeLink(id: string) {
+  const sent: PeerMessage[] = [];
+  const link = {
+    linkId: id,
+    peer: () => ({id, incarnation: id, role: 'entry'}),
+    send: (_stream: string, message: PeerMessage) => sent.push(message),
+  } as unknown as Link;
+  return {link, sent};
+}
+
+test('an entry that is heard of is dialled; the own address is not', () => {
+  const {table, dialled} = setUp();
+  table.learn([OWN, OTHER]);
+  expect(dialled).toEqual([['10.0.0.1:1'], ['10.0.0.1:1', '10.0.0.3:1']]);
+});
+
+test('an entry without a link is forgotten after a time, a seed is not', () => {
+  const {table, dialled, clock} = setUp();
+  table.learn([OTHER]);
+  clock.now += 21_000;
+  table.tick();
+  expect(dialled.at(-1)).toEqual(['10.0.0.1:1']);
+});
+
+test('a new link gets addresses and all work; changes follow in batches', () => {
+  mock.timers.enable({apis: ['setTimeout']});
+  const {table} = setUp();
+  const {link, sent} = fakeLink('10.0.0.1:1');
+  table.linked(link);
+  expect(sent.map(({type}) => type)).toEqual(['entries', 'work']);
+  table.announce({type: 'end', workId: '1'});
+  table.announce({type: 'end', workId: '2'});
+  mock.timers.tick(GATEWAY.WORK_BATCH_MS);
+  expect(sent.at(-1)).toEqual({
+    type: 'work',
+    changes: [
+      {type: 'end', workId: '1'},
+      {type: 'end', workId: '2'},
+    ],
+  });
+  mock.timers.reset();
+});
+
+test('all entries agree on the order of their ranks', () => {
+  const {table} = setUp();
+  expect(table.rank()).toEqual(0);
+  table.linked(fakeLink('10.0.0.1:1').link);
+  table.linked(fakeLink('10.0.0.3:1').link);
+  expect(table.rank()).toEqual(1);
+});
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -231,7 +231,7 @@
       if (this.state.attempts >= this.options.maxAttempts) return;
       if (this.isExplained()) return;
       const reason = 'Nothing was heard from the backend server for too long.';
-      this.receive({type: 'failed', reason, disconnected: false}, attemptId);
+      this.receive({type: 'failed', reason}, attemptId);
     },
     cancel: () => this.endAttempt(),
     emit: ({texts}) => {
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -6,8 +6,6 @@
   TIMED_OUT_STATUS: 504,
   /** Milliseconds between checks of deadlines. */
   TICK_MS: 20,
-  /** Least milliseconds left for which a request is still sent on. */
-  SEND_MIN_MS: 30,
   /** Share of a caller's patience for silence after which to move on. */
   SILENCE_SHARE: 0.45,
   /** Least patience of a caller for silence in a stream, in milliseconds. */
--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -47,6 +47,7 @@
         logger.info('request placed', {
           requestId: req.requestId,
           attempt,
+          promptTokens: req.prompt?.promptTokens,
           serverId,
           helpers: parts.map(part => part.serverId).join(' '),
           running: load.running,
--- a/packages/gateway/src/ports/backend_event.ts
+++ b/packages/gateway/src/ports/backend_event.ts
@@ -41,6 +41,4 @@
       /** The attempt ended without a whole answer, and may have run. */
       readonly type: 'failed';
       readonly reason: string;
-      /** True where the connection broke off. */
-      readonly disconnected: boolean;
     };
