--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -188,8 +188,8 @@
   private isExplained(): boolean {
     const {agentId, heardAt} = this.state;
     const {knownBacklogMs} = this.parts.fleet.loadOf(agentId ?? '');
-    const silentMs = this.parts.now() - heardAt;
-    return silentMs < this.options.progressMs + knownBacklogMs;
+    const allowedMs = this.options.progressMs + knownBacklogMs;
+    return this.parts.now() - heardAt < allowedMs;
   }
 
   private record(outcome: 'answered' | 'failed' | 'unreachable'): void {
@@ -198,8 +198,8 @@
   }
 
   private note(result: string, reason: string): void {
-    const {spec, trace} = this.parts;
-    trace.attemptEnded(spec, this.state.agentId ?? '', result, reason);
+    const {agentId = ''} = this.state;
+    this.parts.trace.attemptEnded(this.parts.spec, agentId, result, reason);
   }
 
   private endAttempt(): void {
@@ -212,14 +212,13 @@
     this.isClosed = true;
     this.endAttempt();
     const {spec, fleet, now, onEnd} = this.parts;
-    const {placement} = this;
     fleet.endWait(spec.req.requestId);
     onEnd({
       ...this.answer.outcome(spec.req.arrivedAt),
       serverId: this.state.agentId,
       attempts: this.attempts,
-      helpers: (placement?.parts ?? []).map(({serverId}) => serverId),
-      predictedMs: placement?.firstEventMs ?? 0,
+      helpers: (this.placement?.parts ?? []).map(({serverId}) => serverId),
+      predictedMs: this.placement?.firstEventMs ?? 0,
       totalMs: now() - spec.req.arrivedAt,
     });
   }
