--- a/packages/decisions/src/serving/__tests__/plan_fixture.ts
+++ b/packages/decisions/src/serving/__tests__/plan_fixture.ts
@@ -1,6 +1,7 @@
 import type {BackendServer} from '../backend_server.js';
 import type {Candidate} from '../candidate.js';
 import type {EngineProfile} from '../engine_profile.js';
+import {fleetLoads} from '../fleet_loads.js';
 import type {PromptQuery} from '../prompt_query.js';
 import type {ServerLoad} from '../server_load.js';
 
@@ -15,16 +16,7 @@
   stepsPerPass: 51,
 };
 
-const IDLE: ServerLoad = {
-  running: 0,
-  decoding: 0,
-  backlogMs: 0,
-  knownBacklogMs: 0,
-  memoryTokens: 0,
-  streams: [],
-  startedLately: 0,
-  quickStreams: 0,
-};
+const IDLE = fleetLoads.of(fleetLoads.empty(), 'any', 0);
 
 function candidate(id: string, load: Partial<ServerLoad> = {}): Candidate {
   const server: BackendServer = {
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -76,12 +76,11 @@
     );
     const plan = this.plan(candidates, spec);
     const {requestId} = spec.req;
-    const isWaiting = this.load.waiting.has(requestId);
     if (plan?.type === 'wait') {
       this.noteWait(requestId, plan.rank);
       return err(createFailure('not-ready', 'The prompt waits for servers.'));
     }
-    if (isWaiting) this.end(requestId);
+    this.endWait(requestId);
     if (plan?.type === 'start') return ok(plan.placement);
     const failure = plan
       ? createFailure('deadline-infeasible', plan.reason, {
@@ -104,7 +103,7 @@
     this.change({type: 'wait', workId, rank});
   }
 
-  /** Load of a server as it is believed now, for logs. */
+  /** Load of a server as it is believed now. */
   loadOf(serverId: string) {
     return fleetLoads.of(this.load, serverId, this.options.now());
   }
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -50,7 +50,7 @@
   private callCount = 0;
   private readonly budgets = new Map<string, Budget>();
   private config?: ServingConfig;
-  private isLeaving = false;
+  private leaving = false;
   private isClosed = false;
   private entries = 1;
 
@@ -90,12 +90,16 @@
   }
 
   isReady(): boolean {
-    return this.config !== undefined && !this.isLeaving;
+    return this.config !== undefined && !this.leaving;
   }
 
   /** Says that the entry is not ready for new callers. */
   leave(): void {
-    this.isLeaving = true;
+    this.leaving = true;
+  }
+
+  isLeaving(): boolean {
+    return this.leaving;
   }
 
   /** Refuses requests from now on, because they could not be finished. */
--- a/packages/http-client/src/open_exchange.ts
+++ b/packages/http-client/src/open_exchange.ts
@@ -1,7 +1,8 @@
 import {Agent, request} from 'node:http';
-import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {IncomingMessage} from 'node:http';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
+import {boundConnect} from './bound_connect.js';
 import type {HttpFailure} from './http_failure.js';
 import type {HttpRequest} from './http_request.js';
 
@@ -17,17 +18,6 @@
   return {type: wasRefused ? 'not-sent' : 'lost', message: error.message};
 }
 
-/** Ends a request whose connection does not come about in time. */
-function boundConnect(req: ClientRequest, onUnconnected: () => void): void {
-  const timer = setTimeout(onUnconnected, CONNECT_MS);
-  const stop = () => clearTimeout(timer);
-  req.on('socket', socket => {
-    if (socket.connecting) socket.once('connect', stop);
-    else stop();
-  });
-  req.on('close', stop);
-}
-
 /**
  * Sends a request and returns the response once its head has come. The
  * timeout bounds each silence up to the end of the body; a connection that
@@ -46,7 +36,7 @@
       signal: options.signal,
       lookup: options.lookup,
     });
-    boundConnect(req, () => {
+    boundConnect(req, CONNECT_MS, () => {
       const message = `No connection to ${options.baseUrl} within ${CONNECT_MS} ms.`;
       resolve(err({type: 'not-sent', message}));
       req.destroy();
