fix(serving): keep long parts away from servers that still read another prompt

Change: `ServerLoad.reading` counts prompts and parts that are not read to their end; a long part goes only to servers where it is 0.

Test: "a long part does not go where another prompt is still being read" failed before.

--- a/packages/decisions/src/serving/__tests__/fleet_loads.test.ts
+++ b/packages/decisions/src/serving/__tests__/fleet_loads.test.ts
@@ -61,3 +61,10 @@
     {type: 'prefilled', workId: '1'},
   ]);
 });
+
+test('a prompt counts as being read until its first event', () => {
+  const load = fleetLoads.start(fleetLoads.empty(), work('1'), 'me', 0);
+  expect(fleetLoads.of(load, 'a', 5_000).reading).toEqual(1);
+  const read = fleetLoads.prefilled(load, '1');
+  expect(fleetLoads.of(read, 'a', 5_000).reading).toEqual(0);
+});
--- a/packages/decisions/src/serving/__tests__/plan_prompt.test.ts
+++ b/packages/decisions/src/serving/__tests__/plan_prompt.test.ts
@@ -102,3 +102,14 @@
   );
   expect(plan?.type).toEqual('wait');
 });
+
+test('a long part does not go where another prompt is still being read', () => {
+  const reading = {reading: 1, backlogMs: 70};
+  const servers = [
+    ...fleet(2, STREAMS),
+    ...[0, 1, 2, 3, 4, 5].map(i => candidate(`reading-${i}`, reading)),
+    ...fleet(4),
+  ];
+  const used = placed(planPrompt(servers, query(200_000, LONG)));
+  expect(used.filter(id => id.startsWith('reading'))).toEqual([]);
+});
--- a/packages/decisions/src/serving/fleet_loads.ts
+++ b/packages/decisions/src/serving/fleet_loads.ts
@@ -19,6 +19,7 @@
 
 const IDLE: ServerLoad = {
   running: 0,
+  reading: 0,
   decoding: 0,
   backlogMs: 0,
   knownBacklogMs: 0,
@@ -171,6 +172,7 @@
     const decoding = own.filter(work => work.prefilled);
     return {
       running: own.length,
+      reading: all.filter(work => !work.prefilled).length,
       decoding: decoding.length,
       ...backlogOf(works, now),
       memoryTokens: all.reduce((sum, work) => sum + work.memoryTokens, 0),
--- a/packages/decisions/src/serving/plan_heavy_prompt.ts
+++ b/packages/decisions/src/serving/plan_heavy_prompt.ts
@@ -87,7 +87,9 @@
   const worthMax = waitedMs / (isOverdue ? OVERDUE_WORTH_MS : STREAM_WORTH_MS);
   const free = servers.filter(
     ({load}) =>
-      load.backlogMs <= FREE_BACKLOG_MS && streamWorth(load) <= worthMax,
+      load.reading === 0 &&
+      load.backlogMs <= FREE_BACKLOG_MS &&
+      streamWorth(load) <= worthMax,
   );
   const rank = canBeOnTime
     ? totalMs
--- a/packages/decisions/src/serving/server_load.ts
+++ b/packages/decisions/src/serving/server_load.ts
@@ -2,6 +2,8 @@
 export interface ServerLoad {
   /** Requests whose tokens the server generates, or will. */
   readonly running: number;
+  /** Prompts, and parts of prompts, that are not read to their end yet. */
+  readonly reading: number;
   /** Requests that are past their prefill. */
   readonly decoding: number;
   /** Milliseconds of prefill that are still ahead. */
