feat(gateway): refuse requests that break one backend server after the other

Cause: the rule on requests that crash each server was not kept on the platform's path: a gateway did not remember which request a server had when it broke off, so each repeat of such a request reached two more servers.

Change: `crashSuspects` counts, by fingerprint, the servers that broke off one after the other without an answer in between; `SuspectList` shares that among gateways by the messages on work. After three the request is refused as not run for 30 s and tried once after that. `fingerprintOf` moved to node-link, where both paths find it.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -120,3 +120,4 @@
 export * from './serving/server_roster.js';
 export * from './serving/prompt_worth.js';
 export * from './serving/divide_servers.js';
+export * from './serving/crash_suspects.js';
--- a/packages/decisions/src/serving/work_change.ts
+++ b/packages/decisions/src/serving/work_change.ts
@@ -15,4 +15,17 @@
       /** A backend server that could not be reached. */
       readonly type: 'unreachable';
       readonly serverId: string;
+    }
+  | {
+      /** A backend server broke off while it ran a request. */
+      readonly type: 'broke';
+      readonly fingerprint: string;
+      readonly serverId: string;
+      /** Milliseconds for which the server had the request. */
+      readonly heldMs: number;
+    }
+  | {
+      /** A request that had broken off was answered. */
+      readonly type: 'answered';
+      readonly fingerprint: string;
     };
--- a/packages/figfall/src/entry/build_spec.ts
+++ b/packages/figfall/src/entry/build_spec.ts
@@ -1,17 +1,11 @@
-import {createHash} from 'node:crypto';
 import type {CompletionRequest, ServiceRequest} from '@figfall/caller';
 import {ROUTING, keyShard, promptAffinity} from '@figfall/decisions';
 import type {HashFunction, RoutingPolicy} from '@figfall/decisions';
+import {fingerprintOf} from '@figfall/node-link';
 import type {RecordForms} from '@figfall/operator';
 import {AGENT} from '../agent/agent_constants.js';
 import type {CallSpec} from './call_spec.js';
 
-function fingerprintOf(...parts: readonly (string | Uint8Array)[]): string {
-  const hash = createHash('sha256');
-  parts.forEach(part => hash.update(part).update('\u0000'));
-  return hash.digest('hex').slice(0, 32);
-}
-
 /** Class of a prompt; baselines do not look at its length. */
 function classOf(
   promptTokens: number,
--- a/packages/gateway/src/__tests__/gateway_call.test.ts
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -171,3 +171,24 @@
   expect(seen.failure?.kind).toEqual('leaving');
   expect(seen.failure?.ran).toEqual('no');
 });
+
+test('a request that breaks one server after the other is refused unsent', () => {
+  const {attempts, serve, clock} = gatewayFixture(['a', 'b', 'c', 'd']);
+  const breakOff = (i: number): void => {
+    attempts[i]?.emit({type: 'sent'});
+    clock.now += 10;
+    attempts[i]?.emit({type: 'failed', reason: 'reset'});
+  };
+  serve('/read/poison');
+  breakOff(0);
+  breakOff(1);
+  serve('/read/poison');
+  breakOff(2);
+  const sent = attempts.length;
+  const {seen} = serve('/read/poison', {requestId: 'r9'});
+  expect(attempts.length).toEqual(sent);
+  expect(seen.failure?.kind).toEqual('suspect-request');
+  expect(seen.failure?.ran).toEqual('no');
+  serve('/read/other');
+  expect(attempts.length).toEqual(sent + 1);
+});
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -37,6 +37,7 @@
   private readonly reservations?: ReservationGroup;
   private exchange?: Exchange;
   private isOver = false;
+  private sentAt = 0;
 
   constructor(private readonly options: BackendAttemptOptions) {
     const {fleet, attemptId, spec, placement, client} = options;
@@ -95,6 +96,7 @@
       const reservationId = reserveTokens > 0 ? attemptId : undefined;
       return [{server: helper, reservationId}];
     });
+    this.sentAt = now();
     this.exchange = client.send(
       {
         requestId: req.requestId,
@@ -110,8 +112,20 @@
         priority: priorityOf(spec),
       },
       event => {
-        if (!this.isOver) onEvent(event);
+        if (this.isOver) return;
+        this.watch(event);
+        onEvent(event);
       },
     );
   }
+
+  /** Learns whether the request may be what breaks servers. */
+  private watch({type}: BackendEvent): void {
+    const {spec, server, fleet, now} = this.options;
+    const {suspects} = fleet;
+    if (type === 'failed') {
+      suspects.broke(spec, server.id, now() - this.sentAt);
+    }
+    if (type === 'answer' || type === 'end') suspects.answered(spec);
+  }
 }
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -22,6 +22,7 @@
 import type {Result} from 'neverthrow';
 import type {CallSpec} from '../calls/call_spec.js';
 import {patienceMs} from '../calls/patience_ms.js';
+import {SuspectList} from './suspect_list.js';
 
 interface FleetOptions {
   /** Name of this entry, as owner of its work. */
@@ -42,8 +43,16 @@
   private zonesOut: ReadonlySet<string> = new Set();
   private load = fleetLoads.empty();
   private readonly health = new Map<string, ServerHealth>();
-
-  constructor(private readonly options: FleetOptions) {}
+  /** Requests that may crash servers. */
+  readonly suspects: SuspectList;
+
+  constructor(private readonly options: FleetOptions) {
+    const {now} = options;
+    this.suspects = new SuspectList({
+      now,
+      change: change => this.change(change),
+    });
+  }
 
   setServers(servers: readonly BackendServer[]): void {
     this.servers = servers;
@@ -66,6 +75,11 @@
     spec: CallSpec,
     exclude: readonly string[],
   ): Result<PromptPlacement, Failure> {
+    const retryAfterMs = this.suspects.refusedMs(spec);
+    if (retryAfterMs > 0) {
+      const message = 'Several backend servers broke off with this request.';
+      return err(createFailure('suspect-request', message, {retryAfterMs}));
+    }
     const {servers, load, health, zonesOut} = this;
     const fleet = {servers, load, health, zonesOut};
     const candidates = eligibleServers(
@@ -81,7 +95,10 @@
       return err(createFailure('not-ready', 'The prompt waits for servers.'));
     }
     this.endWait(requestId);
-    if (plan?.type === 'start') return ok(plan.placement);
+    if (plan?.type === 'start') {
+      this.suspects.tried(spec);
+      return ok(plan.placement);
+    }
     const failure = plan
       ? createFailure('deadline-infeasible', plan.reason, {
           retryAfterMs: plan.retryAfterMs,
@@ -143,6 +160,10 @@
       }
       case 'end':
         return fleetLoads.end(this.load, change.workId);
+      case 'broke':
+      case 'answered':
+        this.suspects.hear(change);
+        return this.load;
       case 'unreachable':
         this.noteOutcome(change.serverId, 'unreachable');
         return this.load;
@@ -158,6 +179,7 @@
   /** Forgets the work of an entry that is gone, and work that is too old. */
   forget(owner?: string): void {
     this.load = fleetLoads.forget(this.load, owner, this.options.now());
+    this.suspects.forget();
   }
 
   /** Notes how an attempt at a server ended. */
--- a/packages/node-link/src/index.ts
+++ b/packages/node-link/src/index.ts
@@ -1,3 +1,4 @@
+export * from './fingerprint_of.js';
 export * from './constants.js';
 export * from './messages/node_identity.js';
 export * from './messages/open_call.js';
