fix(cli): `figfall dev` checks its settings and refuses io_uring

Cause: the check of UV_USE_IO_URING stood in `resolveNode`, which only the commands of a single node call. `dev` handed its raw flags on, so `--http-port x` became NaN and was not noticed either.

Change: `checkRuntime` is called by nodes and by `dev`, and `dev` resolves its settings by the table, with its own default for the log level.

Test: "a development run checks its settings like a node" failed before (the deployment started and the test ran into its time limit).

--- a/packages/cli/src/__tests__/cli.test.ts
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -47,6 +47,16 @@
   ].forEach(text => expect(errors.includes(text)).toEqual(true));
 });
 
+test('a development run checks its settings like a node', async () => {
+  const {code, errors} = await run(['dev', '--http-port', 'x', '--demo'], {
+    UV_USE_IO_URING: '1',
+  });
+  expect(code).toEqual(2);
+  ['--http-port is "x"', 'UV_USE_IO_URING'].forEach(text =>
+    expect(errors.includes(text)).toEqual(true),
+  );
+});
+
 test('help of each command comes from the table that parses', async () => {
   const {out} = await run(['--help']);
   const names = [...out.matchAll(/^ {2}([a-z]+) {2,}/gm)].map(([, n]) => n);
--- a/packages/cli/src/settings/resolve_node.ts
+++ b/packages/cli/src/settings/resolve_node.ts
@@ -2,20 +2,16 @@
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import type {Invocation} from '../commands/invocation.js';
+import {checkRuntime} from './check_runtime.js';
 import {NODE_SETTING_NAMES} from './node_setting_names.js';
 import {resolveSettings} from './resolve_settings.js';
 import type {SettingName} from './setting_name.js';
 
-/** Environment variable under which Node.js uses io_uring. */
-const IO_URING = 'UV_USE_IO_URING';
-
 const TLS_MISSING =
   'links over TLS need all three of --link-tls-key, --link-tls-cert and --link-tls-ca';
 
 const OTLP_MISSING = 'trace exporter otlp needs --otlp-url';
 
-const IO_URING_SET = `${IO_URING} is set to 1, but figfall must not use io_uring: unset it`;
-
 /** Resolves the settings of a node, with checks across settings. */
 export function resolveNode<Name extends SettingName>(
   own: readonly Name[],
@@ -33,7 +29,7 @@
   const needsOtlp = settings?.traceExporter === 'otlp' && !settings.otlpUrl;
   const errors = [
     ...(resolved.isErr() ? resolved.error : []),
-    ...(env[IO_URING] === '1' ? [IO_URING_SET] : []),
+    ...checkRuntime(env),
     ...(tlsCount % 3 === 0 ? [] : [TLS_MISSING]),
     ...(needsOtlp ? [OTLP_MISSING] : []),
   ];
--- a/playground/src/demo/run_dev.ts
+++ b/playground/src/demo/run_dev.ts
@@ -7,8 +7,12 @@
 import type {DemoTarget} from './demo_target.js';
 import {runDemo} from './run_demo.js';
 
-interface DevOptions {
-  readonly flags: Readonly<Record<string, string | boolean | undefined>>;
+interface DevOptions extends Pick<
+  DeploymentOptions,
+  'httpPort' | 'logLevel' | 'traceExporter'
+> {
+  /** Sends the demo requests, checks the answers and ends. */
+  readonly isDemo: boolean;
   readonly print: (line: string) => void;
 }
 
@@ -16,9 +20,6 @@
 
 const SETTLE_MS = 1_500;
 
-/** Port of the first entry of `figfall dev`. */
-const DEV_PORT = 8_080;
-
 function targetOf(deployment: Deployment): DemoTarget {
   const {engines, entries, services, platform, options} = deployment;
   return {
@@ -56,14 +57,13 @@
 }
 
 /** Runs a deployment in this process; returns the exit code. */
-export async function runDev({flags, print}: DevOptions): Promise<number> {
-  const isDemo = flags.demo === true;
+export async function runDev(options: DevOptions): Promise<number> {
+  const {isDemo, print, httpPort, logLevel, traceExporter} = options;
   const overrides: DeploymentOptions = {
     ...DEMO_OPTIONS,
-    httpPort: isDemo ? 0 : Number(flags['http-port'] ?? DEV_PORT),
-    logLevel: (flags['log-level'] ?? 'warn') as DeploymentOptions['logLevel'],
-    traceExporter: (flags['trace-exporter'] ??
-      'none') as DeploymentOptions['traceExporter'],
+    httpPort: isDemo ? 0 : httpPort,
+    logLevel,
+    traceExporter,
   };
   const deployment = await startDeployment(overrides);
   await waitFor('entries are ready', () =>
