fix(door): refuse queued calls whose tokens no longer fit before the deadline

Cause, traced by printing each request that was admitted and not answered whole at twice the load: all ended at their deadline of 4 s with the first token after 3.88 s or later. The door dropped queued calls by their own prefill alone, and left out prefills ahead of them and the tokens that follow; a call let others pass it until three prefill times were left.

Change: `doorLoad.aloneMs` counts prefill and first tokens at the measured interval; queued calls need that and the prefills ahead, running ones let none pass under three times that.

Test: "a queued call is refused while its tokens no longer fit before its deadline" failed before.

--- a/packages/decisions/src/__tests__/door.test.ts
+++ b/packages/decisions/src/__tests__/door.test.ts
@@ -237,3 +237,17 @@
   subject.step({type: 'first-token', callId: 'large'}, 9_100);
   expect(dispatched(subject.commands)).toEqual(['large', 's1', 's2']);
 });
+
+test('a queued call is refused while its tokens no longer fit before its deadline', () => {
+  const subject = createDoor({shortPrefillMs: 10});
+  warm(subject);
+  subject.step({type: 'token-interval', intervalMs: 20}, 1_000);
+  offer(subject, 'runs', {promptTokens: 1_000, totalTokens: 1_020}, 1_000);
+  const tight = {promptTokens: 1_000, totalTokens: 1_020, deadlineAt: 6_000};
+  offer(subject, 'queued', tight, 1_000);
+  subject.commands.length = 0;
+  subject.step({type: 'tick'}, 5_400);
+  expect(refusals(subject.commands)).toEqual([]);
+  subject.step({type: 'tick'}, 5_700);
+  expect(refusals(subject.commands)).toEqual(['deadline-exceeded']);
+});
--- a/packages/decisions/src/door/door.ts
+++ b/packages/decisions/src/door/door.ts
@@ -6,11 +6,11 @@
 import {mapWithout} from '../shared/map_without.js';
 import {coldStart} from './cold_start.js';
 import {doorAdmission} from './door_admission.js';
-import type {DoorCall} from './door_call.js';
 import type {DoorCommand} from './door_command.js';
 import type {DoorCondition} from './door_condition.js';
 import {doorDispatch} from './door_dispatch.js';
 import type {DoorEvent} from './door_event.js';
+import {doorLoad} from './door_load.js';
 import type {DoorOptions} from './door_options.js';
 import {doorReservations} from './door_reservations.js';
 import type {DoorState} from './door_state.js';
@@ -125,11 +125,9 @@
 
 /** Refuses queued calls that can no longer be answered in time. */
 function refuseLate(state: DoorState, now: number): DoorStep {
-  const rate = prefillMeter.rate(state.meter);
-  const leastMs = (call: DoorCall) => (call.promptTokens / rate) * 1_000;
   const late = fairQueue
     .calls(state.queue)
-    .filter(call => call.deadlineAt - leastMs(call) <= now);
+    .filter(call => call.deadlineAt - doorLoad.leastMs(state, call) <= now);
   const queue = late.reduce(
     (rest, call) => fairQueue.remove(rest, call.callId),
     state.queue,
--- a/packages/decisions/src/door/door_dispatch.ts
+++ b/packages/decisions/src/door/door_dispatch.ts
@@ -14,7 +14,7 @@
 /** Factor over the undisturbed time at which a long prefill is overdue. */
 const OVERDUE_FACTOR = 2;
 
-/** Prefill times left before a deadline under which no call may pass. */
+/** Times that a call takes alone, left before its deadline, under which none may pass it. */
 const ENDANGERED_FACTOR = 3;
 
 /** Engine priority of long prompts; lower goes first. */
@@ -48,15 +48,14 @@
 
 /** True where a running prefill misses its deadline if calls pass it. */
 function wouldEndanger(state: DoorState, call: DoorCall, now: number): boolean {
-  const rate = prefillMeter.rate(state.meter);
   const priority = priorityOf(call, false);
   return doorLoad
     .prefills(state)
     .map(run => run.call)
     .filter(other => priorityOf(other, false) > priority)
     .some(other => {
-      const prefillMs = (other.promptTokens / rate) * 1_000;
-      return other.deadlineAt - now < prefillMs * ENDANGERED_FACTOR;
+      const neededMs = doorLoad.aloneMs(state, other) * ENDANGERED_FACTOR;
+      return other.deadlineAt - now < neededMs;
     });
 }
 
--- a/packages/decisions/src/door/door_load.ts
+++ b/packages/decisions/src/door/door_load.ts
@@ -5,6 +5,11 @@
 import {prefillMeter} from './prefill_meter.js';
 import type {RunningCall} from './running_call.js';
 
+/** Generated tokens that a call is counted with at the most. */
+const COUNTED_TOKENS = 16;
+
+const MS_PER_SECOND = 1_000;
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
@@ -19,6 +24,10 @@
   return sum(calls.map(call => call.promptTokens));
 }
 
+function prefillMs(state: DoorState, tokens: number): number {
+  return (tokens / prefillMeter.rate(state.meter)) * MS_PER_SECOND;
+}
+
 function callTokens(state: DoorState): number {
   return sum(
     [...state.running.values()]
@@ -85,6 +94,26 @@
     const byShare = promptTokens(own) * new Set(names).size;
     const ahead = Math.max(promptTokens(queued), byShare);
     const tokens = ahead + promptTokens(running) + call.promptTokens;
-    return (tokens / prefillMeter.rate(state.meter)) * 1_000;
+    return prefillMs(state, tokens);
+  },
+
+  /** Time in milliseconds until a call alone has its first tokens. */
+  aloneMs(state: DoorState, call: DoorCall): number {
+    const generated = Math.min(
+      COUNTED_TOKENS,
+      call.totalTokens - call.promptTokens,
+    );
+    const intervalMs = state.coldStart.usualIntervalMs ?? 0;
+    return prefillMs(state, call.promptTokens) + generated * intervalMs;
+  },
+
+  /** The same for a queued call that is dispatched after running prefills. */
+  leastMs(state: DoorState, call: DoorCall): number {
+    const ahead = prefills(state)
+      .map(run => run.call)
+      .filter(other => other.callClass !== 'long');
+    return (
+      prefillMs(state, promptTokens(ahead)) + doorLoad.aloneMs(state, call)
+    );
   },
 };
