fix(gateway): a refused reservation is not an unreachable server

Change: `BackendClient.reserve` tells refused from unanswered; a server without KV cache to spare is left out for 250 ms, at this gateway alone.

Test: "a server without KV cache to spare is left out for a moment, not blamed"; the reservation group's test names the result.

--- a/packages/decisions/src/serving/__tests__/eligible_servers.test.ts
+++ b/packages/decisions/src/serving/__tests__/eligible_servers.test.ts
@@ -111,3 +111,14 @@
   const back = serverHealths.record(twice, 'answered', twice.avoidUntil);
   expect(back.avoidUntil).toEqual(0);
 });
+
+test('a server without KV cache to spare is left out for a moment, not blamed', () => {
+  const full = serverHealths.record(
+    serverHealths.unknown(NOW),
+    'memory-full',
+    NOW,
+  );
+  expect(full.avoidUntil).toEqual(NOW + 250);
+  expect(full.unreachable).toEqual(0);
+  expect(serverHealths.failureShare(full, NOW)).toEqual(0);
+});
--- a/packages/decisions/src/serving/server_healths.ts
+++ b/packages/decisions/src/serving/server_healths.ts
@@ -12,7 +12,10 @@
 /** Largest number of milliseconds for which a server is left out. */
 const AVOID_MAX_MS = 4_000;
 
-type Outcome = 'answered' | 'failed' | 'unreachable';
+/** Milliseconds for which a server is left out that had no KV cache to spare. */
+const MEMORY_FULL_MS = 250;
+
+type Outcome = 'answered' | 'failed' | 'unreachable' | 'memory-full';
 
 function decayed(health: ServerHealth, now: number): number {
   const halves = (now - health.updatedAt) / HALF_LIFE_MS;
@@ -37,6 +40,10 @@
 
   record(health: ServerHealth, outcome: Outcome, now: number): ServerHealth {
     if (outcome === 'unreachable') return unreachable(health, now);
+    if (outcome === 'memory-full') {
+      const avoidUntil = Math.max(health.avoidUntil, now + MEMORY_FULL_MS);
+      return {...health, avoidUntil};
+    }
     const sample = outcome === 'answered' ? 0 : 1;
     const share = decayed(health, now) * (1 - SMOOTHING) + sample * SMOOTHING;
     return {
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -105,8 +105,8 @@
         resume: () => undefined,
       };
     },
-    reserve: () => Promise.resolve(true),
-    release: () => Promise.resolve(true),
+    reserve: () => Promise.resolve('granted'),
+    release: () => Promise.resolve(),
     keepOnly: () => undefined,
   };
   const fleet = new Fleet({
--- a/packages/gateway/src/__tests__/reservation_group.test.ts
+++ b/packages/gateway/src/__tests__/reservation_group.test.ts
@@ -26,11 +26,11 @@
     },
     reserve: ({id}, {holdMs}) => {
       calls.push(`reserve ${id} ${holdMs}`);
-      return Promise.resolve(!refusing.includes(id));
+      return Promise.resolve(refusing.includes(id) ? 'refused' : 'granted');
     },
     release: ({id}) => {
       calls.push(`release ${id}`);
-      return Promise.resolve(true);
+      return Promise.resolve();
     },
     keepOnly: () => undefined,
   };
@@ -50,8 +50,10 @@
 
 test('all reservations are freed where one is refused', async () => {
   const {calls, group} = setUp(['b']);
-  const refused = await group.acquire();
-  expect(refused.map(({id}) => id)).toEqual(['b']);
+  const denials = await group.acquire();
+  expect(denials.map(({server: {id}, result}) => `${id} ${result}`)).toEqual([
+    'b refused',
+  ]);
   expect(calls).toEqual([...RESERVE, ...RELEASE]);
 });
 
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -22,6 +22,12 @@
   readonly onNoMemory: () => void;
 }
 
+/** What a denied reservation tells of its server. */
+const DENIAL_OUTCOMES = {
+  refused: 'memory-full',
+  unanswered: 'unreachable',
+} as const;
+
 type Exchange = ReturnType<BackendClient['send']>;
 
 function priorityOf({req}: CallSpec): number | undefined {
@@ -79,10 +85,12 @@
   }
 
   private async reserveAndSend(group: ReservationGroup): Promise<void> {
-    const refusedBy = await group.acquire();
-    refusedBy.forEach(({id}) => this.options.fleet.record(id, 'unreachable'));
+    const denials = await group.acquire();
+    denials.forEach(({server, result}) =>
+      this.options.fleet.record(server.id, DENIAL_OUTCOMES[result]),
+    );
     if (this.isOver) return;
-    if (refusedBy.length > 0) this.options.onNoMemory();
+    if (denials.length > 0) this.options.onNoMemory();
     else this.send();
   }
 
--- a/packages/gateway/src/calls/reservation_group.ts
+++ b/packages/gateway/src/calls/reservation_group.ts
@@ -1,6 +1,7 @@
 import type {BackendServer} from '@figfall/decisions';
 import {GATEWAY} from '../constants.js';
 import type {BackendClient} from '../ports/backend_client.js';
+import type {ReserveResult} from '../ports/reserve_result.js';
 
 /** KV cache that one prompt reserves on one server. */
 interface Reservation {
@@ -9,6 +10,12 @@
   readonly tokens: number;
 }
 
+/** A server that did not grant its reservation. */
+interface Denial {
+  readonly server: BackendServer;
+  readonly result: Exclude<ReserveResult, 'granted'>;
+}
+
 /** Reservations of one prompt: all or none, renewed until released. */
 export class ReservationGroup {
   private timer?: NodeJS.Timeout;
@@ -20,15 +27,15 @@
   ) {}
 
   /**
-   * Reserves on all servers and returns those that refused; where one did,
-   * all others are freed again.
+   * Reserves on all servers and returns those that did not grant it; where
+   * there is one, all others are freed again.
    */
-  async acquire(): Promise<readonly BackendServer[]> {
-    const refused = await this.reserveAll();
-    if (this.isReleased) return refused;
-    if (refused.length > 0) {
+  async acquire(): Promise<readonly Denial[]> {
+    const denials = await this.reserveAll();
+    if (this.isReleased) return denials;
+    if (denials.length > 0) {
       this.release();
-      return refused;
+      return denials;
     }
     this.timer = setInterval(() => {
       void this.reserveAll();
@@ -45,8 +52,8 @@
     });
   }
 
-  private async reserveAll(): Promise<readonly BackendServer[]> {
-    const answers = await Promise.all(
+  private async reserveAll(): Promise<readonly Denial[]> {
+    const results = await Promise.all(
       this.reservations.map(({server, reservationId, tokens}) =>
         this.client.reserve(server, {
           reservationId,
@@ -55,8 +62,11 @@
         }),
       ),
     );
-    return this.reservations
-      .filter((_, i) => !answers[i])
-      .map(({server}) => server);
+    return this.reservations.flatMap(({server}, i) => {
+      const result = results[i];
+      return result === undefined || result === 'granted'
+        ? []
+        : [{server, result}];
+    });
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,3 +13,4 @@
 export * from './ports/backend_request.js';
 export * from './ports/caller_request.js';
 export * from './ports/header_list.js';
+export * from './ports/reserve_result.js';
--- a/packages/gateway/src/ports/backend_client.ts
+++ b/packages/gateway/src/ports/backend_client.ts
@@ -1,6 +1,7 @@
 import type {BackendServer} from '@figfall/decisions';
 import type {BackendEvent} from './backend_event.js';
 import type {BackendRequest} from './backend_request.js';
+import type {ReserveResult} from './reserve_result.js';
 
 /** An attempt that is under way. */
 interface BackendExchange {
@@ -16,7 +17,7 @@
     req: BackendRequest,
     onEvent: (event: BackendEvent) => void,
   ) => BackendExchange;
-  /** Reserves, or renews, KV cache; false where it was not granted. */
+  /** Reserves, or renews, KV cache. */
   readonly reserve: (
     server: BackendServer,
     reservation: {
@@ -24,12 +25,12 @@
       readonly tokens: number;
       readonly holdMs: number;
     },
-  ) => Promise<boolean>;
+  ) => Promise<ReserveResult>;
   /** Frees a reservation. */
   readonly release: (
     server: BackendServer,
     reservationId: string,
-  ) => Promise<boolean>;
+  ) => Promise<void>;
   /** Closes idle connections to servers that are no longer listed. */
   readonly keepOnly: (servers: readonly BackendServer[]) => void;
 }
