--- a/bench/src/load/make_workload.ts
+++ b/bench/src/load/make_workload.ts
@@ -1,4 +1,4 @@
-import {createRandom} from './create_random.js';
+import {createRandom} from '@figfall/playground';
 import type {PlannedRequest} from './planned_request.js';
 
 interface WorkloadOptions {
--- a/bench/src/scenarios/at_most_once.ts
+++ b/bench/src/scenarios/at_most_once.ts
@@ -1,6 +1,6 @@
 import {createCaller, sleep, startFleet} from '@figfall/playground';
 import type {CallerAnswer} from '@figfall/playground';
-import {createRandom} from '../load/create_random.js';
+import {createRandom} from '@figfall/playground';
 
 import {atMost} from '../results/at_most.js';
 import type {Scenario} from './scenario.js';
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -4,6 +4,7 @@
   "git ls-files --cached --others --exclude-standard '*.test.ts'",
   {encoding: 'utf8'},
 );
+execSync('node scripts/build_platform.mjs', {stdio: 'inherit'});
 const files = [...new Set(list.split('\n').filter(Boolean))];
 const run = spawnSync(
   process.execPath,
