feat(observability): explain a request from its id; tell what was left out

Cause: a request's story had to be put together from several greps; the log did not say how many servers there were to choose from, nor that a server was left out, and no metric told the age of the copies of the store.

Change: `figfall explain ID FILE...` (two passes over the files, nothing kept but the lines that matter); `candidates` in `request placed`; counts in the refusal for lack of servers; `server avoided`; gauges of servers by state, waiting prompts, age of the store's copies, memory and processor time, read when the metrics are asked for. `planRequest` and `countServers` moved out of the fleet's file.

Tests: explain_request.test.ts, cli.test.ts.

--- a/packages/cli/src/__tests__/cli.test.ts
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -60,7 +60,7 @@
 test('help of each command comes from the table that parses', async () => {
   const {out} = await run(['--help']);
   const names = [...out.matchAll(/^ {2}([a-z]+) {2,}/gm)].map(([, n]) => n);
-  expect(names.length).toEqual(10);
+  expect(names.length).toEqual(11);
   for (const name of names) {
     const {code, out: help} = await run([name, '--help']);
     expect(code).toEqual(0);
@@ -122,3 +122,17 @@
     await platform.close();
   }
 });
+
+test('a request is explained from log files', async () => {
+  const path = join(mkdtempSync(join(tmpdir(), 'figfall-')), 'front.log');
+  const time = new Date(0).toISOString();
+  const message = 'request refused';
+  const line = {time, node: 'front', message, requestId: 'r1', kind: 'leaving'};
+  writeFileSync(path, `${JSON.stringify({...line, reason: 'It stops.'})}\n`);
+  const {code, out} = await run(['explain', 'r1', path]);
+  expect(code).toEqual(0);
+  expect(out.includes('It failed as leaving: It stops.')).toEqual(true);
+  expect((await run(['explain', 'r2', path])).code).toEqual(1);
+  expect((await run(['explain', 'r1', `${path}.gone`])).code).toEqual(1);
+  expect((await run(['explain', 'r1'])).code).toEqual(2);
+});
--- a/packages/cli/src/commands/command_table.ts
+++ b/packages/cli/src/commands/command_table.ts
@@ -5,6 +5,7 @@
 import {deleteCommand} from './delete_command.js';
 import {devCommand} from './dev_command.js';
 import {entryCommand} from './entry_command.js';
+import {explainCommand} from './explain_command.js';
 import {getCommand} from './get_command.js';
 import {statusCommand} from './status_command.js';
 import {validateCommand} from './validate_command.js';
@@ -18,6 +19,7 @@
   delete: deleteCommand,
   validate: validateCommand,
   status: statusCommand,
+  explain: explainCommand,
   drain: createStateCommand(
     'out',
     'take an availability zone or backend server out of service',
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -115,6 +115,7 @@
     random: () => 0.5,
     now: () => clock.now,
     announce: () => undefined,
+    onAvoided: () => undefined,
   });
   const core = new GatewayCore({
     fleet,
--- a/packages/gateway/src/calls/call_trace.ts
+++ b/packages/gateway/src/calls/call_trace.ts
@@ -1,4 +1,4 @@
-import type {PromptPlacement} from '@figfall/decisions';
+import type {Placement} from '../core/placement.js';
 import type {CallSpec} from './call_spec.js';
 
 /** Learns of the decisions on a request, for the log. */
@@ -8,7 +8,7 @@
   /** An attempt was placed. */
   readonly placed: (
     spec: CallSpec,
-    placement: PromptPlacement,
+    placement: Placement,
     attempt: number,
   ) => void;
   /** An attempt ended without a whole answer. */
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -5,9 +5,9 @@
   CallExecutors,
   CallOptions,
   CallState,
-  PromptPlacement,
 } from '@figfall/decisions';
 import {GATEWAY} from '../constants.js';
+import type {Placement} from '../core/placement.js';
 import type {AnswerHead} from '../ports/answer_head.js';
 import type {BackendEvent} from '../ports/backend_event.js';
 import {BackendAttempt} from './backend_attempt.js';
@@ -29,7 +29,7 @@
   private options: CallOptions;
   private state: CallState;
   private attempts = 0;
-  private placement?: PromptPlacement;
+  private placement?: Placement;
   private attempt?: BackendAttempt;
   private isWaiting = false;
   private isClosed = false;
@@ -80,7 +80,7 @@
     this.routed(placed.value);
   }
 
-  private routed(placement: PromptPlacement): void {
+  private routed(placement: Placement): void {
     const {spec, trace} = this.parts;
     this.placement = placement;
     this.attempts += 1;
--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -42,7 +42,8 @@
           promptTokens: req.prompt?.promptTokens,
           configVersion: configVersion(),
         }),
-      placed: ({req}, {serverId, parts, firstEventMs}, attempt) => {
+      placed: ({req}, placement, attempt) => {
+        const {serverId, parts, firstEventMs, candidates} = placement;
         const load = fleet.loadOf(serverId);
         logger.info('request placed', {
           requestId: req.requestId,
@@ -50,6 +51,7 @@
           promptTokens: req.prompt?.promptTokens,
           serverId,
           helpers: parts.map(part => part.serverId).join(' '),
+          candidates,
           running: load.running,
           backlogMs: Math.round(load.backlogMs),
           predictedMs: Math.round(firstEventMs),
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -1,18 +1,12 @@
 import {
   createFailure,
   eligibleServers,
-  engineTime,
   fleetLoads,
-  placePlain,
-  planPrompt,
   serverHealths,
 } from '@figfall/decisions';
 import type {
   BackendServer,
-  Candidate,
   Failure,
-  PromptPlacement,
-  PromptPlan,
   RandomSource,
   ServerHealth,
   WorkChange,
@@ -21,7 +15,9 @@
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import type {CallSpec} from '../calls/call_spec.js';
-import {patienceMs} from '../calls/patience_ms.js';
+import {countServers} from './count_servers.js';
+import type {Placement} from './placement.js';
+import {planRequest} from './plan_request.js';
 import {SuspectList} from './suspect_list.js';
 
 interface FleetOptions {
@@ -30,6 +26,8 @@
   readonly zone: string;
   readonly random: RandomSource;
   readonly now: () => number;
+  /** Learns of a server that is left out for a while, and why. */
+  readonly onAvoided: (serverId: string, why: string, forMs: number) => void;
   /** Tells other entries of this entry's work. */
   readonly announce: (change: WorkChange) => void;
 }
@@ -74,7 +72,7 @@
   place(
     spec: CallSpec,
     exclude: readonly string[],
-  ): Result<PromptPlacement, Failure> {
+  ): Result<Placement, Failure> {
     const retryAfterMs = this.suspects.refusedMs(spec);
     if (retryAfterMs > 0) {
       const message = 'Several backend servers broke off with this request.';
@@ -88,7 +86,13 @@
       exclude,
       this.options.now(),
     );
-    const plan = this.plan(candidates, spec);
+    const {zone, random, now} = this.options;
+    const plan = planRequest(candidates, spec, {
+      zone,
+      random,
+      now: now(),
+      bestOtherRank: fleetLoads.bestRank(load, spec.req.requestId),
+    });
     const {requestId} = spec.req;
     if (plan?.type === 'wait') {
       this.noteWait(requestId, plan.rank);
@@ -97,7 +101,7 @@
     this.endWait(requestId);
     if (plan?.type === 'start') {
       this.suspects.tried(spec);
-      return ok(plan.placement);
+      return ok({...plan.placement, candidates: candidates.length});
     }
     const failure = plan
       ? createFailure('deadline-infeasible', plan.reason, {
@@ -105,11 +109,31 @@
         })
       : createFailure(
           'no-backend-server',
-          `No backend server of ${spec.service.name} can take the request now.`,
+          `No backend server of ${spec.service.name} can take the request now. ${this.summary(spec)}`,
         );
     return err(failure);
   }
 
+  /** Says how many servers a service has, for a message. */
+  private summary({service}: CallSpec): string {
+    const {health, zonesOut, options} = this;
+    const servers = this.servers.filter(
+      ({service: name}) => name === service.name,
+    );
+    const counts = countServers({servers, health, zonesOut}, options.now());
+    return `Listed: ${servers.length}, ready: ${counts.ready}, in zones that are out: ${counts.zoneOut}, avoided: ${counts.avoided}.`;
+  }
+
+  /** Counts servers and prompts that wait, for metrics. */
+  census() {
+    const {servers, health, zonesOut, load, options} = this;
+    return {
+      ...countServers({servers, health, zonesOut}, options.now()),
+      waiting: load.waiting.size,
+      working: load.byServer.size,
+    };
+  }
+
   /** Forgets that a prompt waits. */
   endWait(requestId: string): void {
     if (this.load.waiting.has(requestId)) this.end(requestId);
@@ -198,39 +222,13 @@
   }
 
   private noteOutcome(serverId: string, outcome: Outcome): void {
-    const now = this.options.now();
-    const health = this.health.get(serverId) ?? serverHealths.unknown(now);
-    this.health.set(serverId, serverHealths.record(health, outcome, now));
-  }
-
-  private plan(
-    candidates: readonly Candidate[],
-    spec: CallSpec,
-  ): PromptPlan | undefined {
-    const {zone, random, now} = this.options;
-    const {prompt, requestId, arrivedAt} = spec.req;
-    const {engine} = spec.service;
-    if (!engine || !prompt) {
-      const chosen = placePlain(candidates, zone, random);
-      if (!chosen) return undefined;
-      const placement = {
-        serverId: chosen.server.id,
-        parts: [],
-        prefillMs: 0,
-        firstEventMs: 0,
-      };
-      return {type: 'start', placement};
+    const {now, onAvoided} = this.options;
+    const at = now();
+    const health = this.health.get(serverId) ?? serverHealths.unknown(at);
+    const next = serverHealths.record(health, outcome, at);
+    this.health.set(serverId, next);
+    if (next.avoidUntil > health.avoidUntil) {
+      onAvoided(serverId, outcome, next.avoidUntil - at);
     }
-    const {targetMs, pauseMs} = spec.route;
-    return planPrompt(candidates, {
-      engine,
-      ...prompt,
-      targetMs: Math.max(targetMs, engineTime.passMs(engine, 0)),
-      pauseMs,
-      zone,
-      waitedMs: now() - arrivedAt,
-      patienceMs: Math.min(patienceMs(spec.route), spec.deadlineAt - arrivedAt),
-      bestOtherRank: fleetLoads.bestRank(this.load, requestId),
-    });
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export * from './calls/call_outcome.js';
 export * from './constants.js';
+export * from './core/add_fleet_gauges.js';
 export * from './core/create_gateway_metrics.js';
 export * from './core/fleet.js';
 export * from './core/gateway_core.js';
