fix(gateway): hold requests until the configuration is there, for half a second

Change: `HeldCalls` keeps requests of the first 500 ms in order and begins them when configuration and servers are known; after that they are refused as before.

Tests: "a request that comes before the configuration waits for it" and "a request is refused where no configuration comes" fail without it.

--- a/packages/gateway/src/__tests__/gateway_call.test.ts
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -192,3 +192,36 @@
   serve('/read/other');
   expect(attempts.length).toEqual(sent + 1);
 });
+
+test('a refusal for lack of servers says which there are', () => {
+  const {serve, fleet} = gatewayFixture(['a', 'b']);
+  fleet.setZonesOut(new Set(['nord']));
+  const {seen} = serve('/book/x');
+  expect(seen.failure?.kind).toEqual('no-backend-server');
+  expect(seen.failure?.message).toEqual(
+    'No backend server of plain can take the request now. Listed: 2, ready: 2, in zones that are out: 2, avoided: 0.',
+  );
+});
+
+test('a request that comes before the configuration waits for it', () => {
+  const {attempts, serve, inform} = gatewayFixture(['a'], false);
+  const {seen} = serve('/book/x');
+  const {call} = serve('/book/y');
+  call.callerGone();
+  expect(seen.failure).toEqual(undefined);
+  inform();
+  expect(attempts.map(({req}) => req.target)).toEqual(['/book/x']);
+});
+
+test('a request is refused where no configuration comes', () => {
+  const {serve, core, clock} = gatewayFixture(['a'], false);
+  const {seen} = serve('/book/x');
+  clock.now += 499;
+  core.tick();
+  expect(seen.failure).toEqual(undefined);
+  clock.now += 1;
+  core.tick();
+  expect(seen.failure?.kind).toEqual('not-ready');
+  expect(seen.failure?.ran).toEqual('no');
+  expect(serve('/book/y').seen.failure?.kind).toEqual('not-ready');
+});
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -86,7 +86,10 @@
 };
 
 /** A gateway core with a hand-driven clock and backend servers. */
-export function gatewayFixture(serverIds: readonly string[] = ['a', 'b']) {
+export function gatewayFixture(
+  serverIds: readonly string[] = ['a', 'b'],
+  isInformed = true,
+) {
   const clock = {now: 1_000};
   const attempts: SentAttempt[] = [];
   const client: BackendClient = {
@@ -126,8 +129,11 @@
     now: () => clock.now,
     retry: {ratio: 0.2, slack: 100},
   });
-  core.configure(CONFIG);
-  core.setServers(serverIds.map(id => server(id, 'plain')));
+  const inform = (): void => {
+    core.configure(CONFIG);
+    core.setServers(serverIds.map(id => server(id, 'plain')));
+  };
+  if (isInformed) inform();
 
   const serve = (path: string, options: Partial<CallerRequest> = {}) => {
     const seen: Seen = {text: '', ended: false};
@@ -169,5 +175,5 @@
     );
     return {seen, call};
   };
-  return {clock, attempts, core, fleet, serve};
+  return {clock, attempts, core, fleet, inform, serve};
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -4,6 +4,8 @@
   OFFERS_MAX: 4,
   /** Status of a backend server that ran a request up to its deadline. */
   TIMED_OUT_STATUS: 504,
+  /** Milliseconds after its start for which an entry holds requests that come before the configuration. */
+  STARTUP_MS: 500,
   /** Milliseconds between checks of deadlines. */
   TICK_MS: 20,
   /** Share of a caller's patience for silence after which to move on. */
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -15,6 +15,8 @@
 import {createCallLog} from './create_call_log.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {Fleet} from './fleet.js';
+import {HeldCalls} from './held_calls.js';
+import type {OpenCall} from './open_call.js';
 
 interface GatewayCoreOptions {
   readonly fleet: Fleet;
@@ -31,12 +33,6 @@
   };
 }
 
-/** A request that is under way. */
-interface OpenCall {
-  readonly callerGone: () => void;
-  readonly drained: () => void;
-}
-
 type Budget = ReturnType<typeof retryBudget.create>;
 
 const NO_CALL: OpenCall = {
@@ -52,11 +48,15 @@
   private config?: ServingConfig;
   private leaving = false;
   private isClosed = false;
+  private hasServers = false;
   private entries = 1;
+  private readonly held = new HeldCalls();
+  private readonly createdAt: number;
 
   private readonly log: ReturnType<typeof createCallLog>;
 
   constructor(private readonly options: GatewayCoreOptions) {
+    this.createdAt = options.now();
     this.log = createCallLog({
       ...options,
       configVersion: () => this.configVersion(),
@@ -72,6 +72,7 @@
       version: config.version,
       routes: config.routes.length,
     });
+    if (this.isInformed()) this.held.release();
     return true;
   }
 
@@ -82,6 +83,8 @@
   setServers(servers: readonly BackendServer[]): void {
     this.options.fleet.setServers(servers);
     this.options.client.keepOnly(servers);
+    this.hasServers = true;
+    if (this.isInformed()) this.held.release();
   }
 
   /** Number of entries that share the retry budget. */
@@ -108,15 +111,32 @@
   }
 
   isBusy(): boolean {
-    return this.calls.size > 0;
+    return this.calls.size > 0 || !this.held.isEmpty();
   }
 
   tick(): void {
+    if (!this.isStarting()) this.held.release();
     [...this.calls.values()].forEach(call => call.step({type: 'tick'}));
   }
 
+  private isInformed(): boolean {
+    return this.config !== undefined && this.hasServers;
+  }
+
+  /** True while what the store holds may still come in a moment. */
+  private isStarting(): boolean {
+    const ageMs = this.options.now() - this.createdAt;
+    return !this.isInformed() && ageMs < GATEWAY.STARTUP_MS;
+  }
+
   /** Serves one attempt of a caller. */
   serve(req: CallerRequest, sink: AnswerSink): OpenCall {
+    return this.isStarting()
+      ? this.held.hold(() => this.begin(req, sink))
+      : this.begin(req, sink);
+  }
+
+  private begin(req: CallerRequest, sink: AnswerSink): OpenCall {
     const {random, fleet, client, now} = this.options;
     const built = this.isClosed
       ? err(createFailure('leaving', 'The entry is shutting down.'))
