fix(calls): wait a moment before a request goes elsewhere after a crash

Cause, traced before: where several engines crash at one moment, a request broken off by one was sent to another before that crash was known, broke off again and was taken for one that crashes engines.

Change: after a crash a request is routed again 200 ms later, at a tick. `afterFailure` takes the time of the crash in place of a flag.

--- a/packages/decisions/src/calls/call_machine.ts
+++ b/packages/decisions/src/calls/call_machine.ts
@@ -124,6 +124,7 @@
 function onTick(state: CallState, options: CallOptions, now: number): CallStep {
   if (now >= options.deadlineAt) return onDeadline(state);
   if (state.phase === 'routing') {
+    if (now < (state.routeAt ?? 0)) return quiet(state);
     return callRecovery.routeAgain(state, state.exclude);
   }
   if (state.phase === 'detached') {
@@ -132,7 +133,7 @@
       'link-lost',
       'The node that ran the request can no longer be reached.',
     );
-    return callRecovery.afterFailure(state, failure, false, options);
+    return callRecovery.afterFailure(state, failure, options);
   }
   const silentSince = Math.max(state.heardAt, state.askedAt);
   const isWaiting = state.phase === 'opening' || state.phase === 'active';
@@ -157,8 +158,13 @@
     callRecovery.afterRefusal(state, event.failure, options),
   tokens: (state, event, _options, now) => onTokens(state, event, now),
   done: (state, event, _options, now) => onDone(state, event, now),
-  failed: (state, event, options) =>
-    callRecovery.afterFailure(state, event.failure, event.crashed, options),
+  failed: (state, event, options, now) =>
+    callRecovery.afterFailure(
+      state,
+      event.failure,
+      options,
+      event.crashed ? now : undefined,
+    ),
   alive: (state, _event, _options, now) =>
     state.phase === 'opening'
       ? onAccepted(state, now)
--- a/packages/decisions/src/calls/call_recovery.ts
+++ b/packages/decisions/src/calls/call_recovery.ts
@@ -9,6 +9,12 @@
 /** Crashes after which a request is not tried again. */
 const CRASHES_MAX = 2;
 
+/**
+ * Milliseconds before a request goes to another engine after a crash. Where
+ * several engines crash at once, the others are known to be down by then.
+ */
+const CRASH_PAUSE_MS = 200;
+
 function ranOf(state: CallState, failure: Failure): Failure['ran'] {
   if (state.ran === 'no') return failure.ran;
   return state.nextIndex > 0 ? 'yes' : state.ran;
@@ -37,13 +43,21 @@
   };
 }
 
-function afterCrash(state: CallState, failure: Failure): CallStep {
+function afterCrash(
+  state: CallState,
+  failure: Failure,
+  crashedAt: number,
+): CallStep {
   const crashes = state.crashes + 1;
   const record: CallCommand = {type: 'crashed', crashes};
   const counted = {...state, crashes};
   if (crashes < CRASHES_MAX) {
-    const again = routeAgain(counted, state.agentId ? [state.agentId] : []);
-    return {state: again.state, commands: [record, ...again.commands]};
+    const exclude = state.agentId ? [state.agentId] : [];
+    const routeAt = crashedAt + CRASH_PAUSE_MS;
+    return {
+      state: {...counted, phase: 'routing', exclude, routeAt},
+      commands: [record],
+    };
   }
   const refused = end(
     counted,
@@ -85,12 +99,15 @@
     return routeAgain(next, refusedBy);
   },
 
-  /** Follows a failure of an attempt that may have run. */
+  /**
+   * Follows a failure of an attempt that may have run; `crashedAt` is the
+   * time at which its engine crashed, where it did.
+   */
   afterFailure(
     state: CallState,
     failure: Failure,
-    crashed: boolean,
     options: CallOptions,
+    crashedAt?: number,
   ): CallStep {
     const ran = failure.ran === 'no' ? state.ran : failure.ran;
     const next = {...state, ran, lastFailure: failure, refusedBy: []};
@@ -99,7 +116,9 @@
     if (!mayRepeat || !mayMove || state.attempts >= options.maxAttempts) {
       return end(next, failure);
     }
-    if (crashed && state.nextIndex === 0) return afterCrash(next, failure);
+    if (crashedAt !== undefined && state.nextIndex === 0) {
+      return afterCrash(next, failure, crashedAt);
+    }
     return routeAgain(next, state.agentId ? [state.agentId] : []);
   },
 };
