--- a/packages/decisions/src/serving/plan_heavy_prompt.ts
+++ b/packages/decisions/src/serving/plan_heavy_prompt.ts
@@ -1,12 +1,10 @@
 import type {Candidate} from './candidate.js';
 import {divideServers} from './divide_servers.js';
+import {PARTS_MAX} from './parts_max.js';
 import {placeInParts} from './place_in_parts.js';
 import type {PromptPlan} from './prompt_plan.js';
 import type {PromptQuery} from './prompt_query.js';
 
-/** Largest number of servers that share one prompt. */
-const PARTS_MAX = 16;
-
 /** Backlog in milliseconds up to which a server is free. */
 const FREE_BACKLOG_MS = 80;
 
--- a/packages/decisions/src/serving/plan_prompt.ts
+++ b/packages/decisions/src/serving/plan_prompt.ts
@@ -1,13 +1,11 @@
 import type {Candidate} from './candidate.js';
 import {engineTime} from './engine_time.js';
 import {planHeavyPrompt} from './plan_heavy_prompt.js';
+import {PARTS_MAX} from './parts_max.js';
 import {placeInParts} from './place_in_parts.js';
 import type {PromptPlan} from './prompt_plan.js';
 import type {PromptQuery} from './prompt_query.js';
 
-/** Largest number of servers that share one prompt. */
-const PARTS_MAX = 16;
-
 /** Prompt tokens of a part under which a further split gains nothing. */
 const PART_TOKENS_MIN = 3_000;
 
