--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -7,6 +7,7 @@
 import type {
   BackendServer,
   Failure,
+  PromptPlan,
   RandomSource,
   ServerHealth,
   WorkChange,
@@ -78,40 +79,41 @@
       const message = 'Several backend servers broke off with this request.';
       return err(createFailure('suspect-request', message, {retryAfterMs}));
     }
-    const {servers, load, health, zonesOut} = this;
-    const fleet = {servers, load, health, zonesOut};
-    const candidates = eligibleServers(
-      fleet,
-      spec.service,
-      exclude,
-      this.options.now(),
-    );
+    const candidates = this.candidates(spec, exclude);
     const {zone, random, now} = this.options;
+    const {requestId} = spec.req;
     const plan = planRequest(candidates, spec, {
       zone,
       random,
       now: now(),
-      bestOtherRank: fleetLoads.bestRank(load, spec.req.requestId),
+      bestOtherRank: fleetLoads.bestRank(this.load, requestId),
     });
-    const {requestId} = spec.req;
     if (plan?.type === 'wait') {
       this.noteWait(requestId, plan.rank);
       return err(createFailure('not-ready', 'The prompt waits for servers.'));
     }
     this.endWait(requestId);
-    if (plan?.type === 'start') {
-      this.suspects.tried(spec);
-      return ok({...plan.placement, candidates: candidates.length});
+    if (plan?.type !== 'start') return err(this.refusal(spec, plan));
+    this.suspects.tried(spec);
+    return ok({...plan.placement, candidates: candidates.length});
+  }
+
+  private candidates(spec: CallSpec, exclude: readonly string[]) {
+    const {servers, load, health, zonesOut, options} = this;
+    const fleet = {servers, load, health, zonesOut};
+    return eligibleServers(fleet, spec.service, exclude, options.now());
+  }
+
+  private refusal(
+    spec: CallSpec,
+    plan: Extract<PromptPlan, {readonly type: 'refuse'}> | undefined,
+  ): Failure {
+    if (plan) {
+      const {reason, retryAfterMs} = plan;
+      return createFailure('deadline-infeasible', reason, {retryAfterMs});
     }
-    const failure = plan
-      ? createFailure('deadline-infeasible', plan.reason, {
-          retryAfterMs: plan.retryAfterMs,
-        })
-      : createFailure(
-          'no-backend-server',
-          `No backend server of ${spec.service.name} can take the request now. ${this.summary(spec)}`,
-        );
-    return err(failure);
+    const message = `No backend server of ${spec.service.name} can take the request now. ${this.summary(spec)}`;
+    return createFailure('no-backend-server', message);
   }
 
   /** Says how many servers a service has, for a message. */
--- a/packages/gateway/src/core/held_calls.ts
+++ b/packages/gateway/src/core/held_calls.ts
@@ -1,23 +1,18 @@
 import type {OpenCall} from './open_call.js';
 
-/** Begins a request that was held. */
-type Begin = () => OpenCall;
-
 /**
  * Requests that came while a gateway starts, in order. Load: after a restart
  * callers are there before the configuration, which is due in a moment.
  */
 export class HeldCalls {
-  private held: Begin[] = [];
+  private held: (() => void)[] = [];
 
-  /** Keeps a request until `release`. */
-  hold(begin: Begin): OpenCall {
+  /** Keeps a request, which `begin` starts, until `release`. */
+  hold(begin: () => OpenCall): OpenCall {
     let call: OpenCall | undefined;
     let isGone = false;
     this.held.push(() => {
-      if (isGone)
-        return {callerGone: () => undefined, drained: () => undefined};
-      return (call = begin());
+      if (!isGone) call = begin();
     });
     return {
       callerGone: () => {
