test(playground): an emulator of gateways and engines under virtual time

Change: `playground/src/emulator`: a virtual clock, engines that work in scheduling passes, callers, drawn loads, and the real `GatewayCore` and `Fleet` in between; baselines for comparison.

--- a/bench/src/run_bench.ts
+++ b/bench/src/run_bench.ts
@@ -1,5 +1,7 @@
+import {writeFileSync} from 'node:fs';
 import {parseArgs} from 'node:util';
 import {printResult} from './results/print_result.js';
+import {renderSvg} from './results/render_svg.js';
 import {SCENARIOS} from './scenarios/scenario_table.js';
 
 interface BenchOptions {
@@ -9,7 +11,7 @@
 }
 
 const USAGE =
-  'usage: npm run bench -- --scenario NAME --seed N [--size lindenau|thistlebrae] [--json] | --list';
+  'usage: npm run bench -- --scenario NAME --seed N [--size lindenau|thistlebrae] [--json] [--svg FILE] | --list';
 
 /** Runs one scenario and returns the exit code. */
 export async function runBench(options: BenchOptions): Promise<number> {
@@ -21,6 +23,7 @@
       seed: {type: 'string', default: '1'},
       size: {type: 'string', default: 'lindenau'},
       json: {type: 'boolean', default: false},
+      svg: {type: 'string'},
       list: {type: 'boolean', default: false},
     },
   });
@@ -41,6 +44,7 @@
   }
   const figures = await scenario.run({seed, size, note});
   const result = {scenario: name, seed, ...figures};
+  if (values.svg) writeFileSync(values.svg, renderSvg(result));
   if (values.json) print(JSON.stringify(result));
   else printResult(result).forEach(print);
   return result.broken.length > 0 ? 1 : 0;
--- a/bench/src/scenarios/scenario_table.ts
+++ b/bench/src/scenarios/scenario_table.ts
@@ -6,6 +6,7 @@
 import {overhead} from './overhead.js';
 import {overload} from './overload.js';
 import {oversized} from './oversized.js';
+import {placement} from './placement.js';
 import type {Scenario} from './scenario.js';
 import {silentLink} from './silent_link.js';
 import {slopes} from './slopes.js';
@@ -19,6 +20,7 @@
   'cold-start': coldStart,
   overload,
   oversized,
+  placement,
   'silent-link': silentLink,
   'crashing-request': crashingRequest,
   'at-most-once': atMostOnce,
--- /dev/null
+++ b/playground/src/emulator/emulated_caller.ts
@@ -0,0 +1,57 @@
+import type {AnswerSink} from '@figfall/gateway';
+import type {EmulatedRequest} from './emulated_request.js';
+import type {EmulatedResult} from './emulated_result.js';
+
+/** A caller under virtual time; it notes when events come. */
+export class EmulatedCaller {
+  private firstEventMs?: number;
+  private longestPauseMs = 0;
+  private lastAt: number;
+  private outcome?: EmulatedResult['outcome'];
+
+  constructor(
+    private readonly request: EmulatedRequest,
+    private readonly now: () => number,
+  ) {
+    this.lastAt = now();
+  }
+
+  readonly sink: AnswerSink = {
+    answer: () => {
+      this.outcome = 'failed';
+    },
+    begin: () => undefined,
+    events: () => {
+      this.noteEvent();
+      return true;
+    },
+    end: () => {
+      this.outcome = this.isOnTime() ? 'on-time' : 'late';
+    },
+    fail: ({ran}) => {
+      this.outcome = ran === 'no' ? 'refused' : 'failed';
+    },
+  };
+
+  result(): EmulatedResult {
+    const {request, firstEventMs, longestPauseMs} = this;
+    const outcome = this.outcome ?? 'failed';
+    return {request, outcome, firstEventMs, longestPauseMs};
+  }
+
+  private isOnTime(): boolean {
+    const {targetMs, pauseMs} = this.request;
+    const firstMs = this.firstEventMs ?? Infinity;
+    return firstMs <= targetMs && this.longestPauseMs <= pauseMs;
+  }
+
+  private noteEvent(): void {
+    const now = this.now();
+    if (this.firstEventMs === undefined) {
+      this.firstEventMs = now - this.request.at;
+    } else {
+      this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastAt);
+    }
+    this.lastAt = now;
+  }
+}
--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -16,4 +16,6 @@
 export * from './weights/start_weight_store.js';
 export * from './demo/run_dev.js';
 export * from './processes/start_fleet.js';
+export * from './emulator/draw_load.js';
+export * from './emulator/run_emulation.js';
 export * from './random/create_random.js';
