--- a/bench/src/scenarios/placement.ts
+++ b/bench/src/scenarios/placement.ts
@@ -1,4 +1,4 @@
-import {drawLoad, runEmulation} from '@figfall/playground';
+import {SHEET_ENGINE, drawLoad, runEmulation} from '@figfall/playground';
 import type {BenchRow} from '../results/bench_row.js';
 import {atLeast} from '../results/at_least.js';
 import {findValue} from '../results/find_value.js';
@@ -67,17 +67,6 @@
   [0.32, 1.3, 2.8],
 ];
 
-const ENGINE = {
-  slots: 11,
-  stepMs: 0.85,
-  sequenceStepMs: 0.004,
-  prefillTokensPerMs: 177,
-  attentionMsPerMillionPairs: 0.184,
-  stepsPerPass: 51,
-  chunkTokens: 2_048,
-  memoryTokens: 315_000,
-};
-
 /** Most tokens of a part by policy; figfall places by itself. */
 const POLICIES: Readonly<Record<string, number | undefined>> = {
   figfall: undefined,
@@ -139,7 +128,7 @@
           await runEmulation({
             ...fleet,
             seed,
-            engine: ENGINE,
+            engine: SHEET_ENGINE,
             load,
             baselinePartTokens,
           }),
--- a/playground/src/__tests__/emulation.test.ts
+++ b/playground/src/__tests__/emulation.test.ts
@@ -3,19 +3,9 @@
 import {EmulatedServer} from '../emulator/emulated_server.js';
 import type {EmulatedRequest} from '../emulator/emulated_request.js';
 import {runEmulation} from '../emulator/run_emulation.js';
+import {SHEET_ENGINE} from '../emulator/sheet_engine.js';
 import {VirtualClock} from '../emulator/virtual_clock.js';
 
-const ENGINE = {
-  slots: 11,
-  stepMs: 0.85,
-  sequenceStepMs: 0.004,
-  prefillTokensPerMs: 177,
-  attentionMsPerMillionPairs: 0.184,
-  stepsPerPass: 51,
-  chunkTokens: 2_048,
-  memoryTokens: 315_000,
-};
-
 const LONG = {
   kind: 'long',
   outputTokens: 840,
@@ -50,7 +40,7 @@
   ...sizes: readonly (readonly [number, number])[]
 ): Promise<readonly (readonly number[])[]> {
   const clock = new VirtualClock();
-  const server = new EmulatedServer(ENGINE, clock);
+  const server = new EmulatedServer(SHEET_ENGINE, clock);
   const times = sizes.map(([promptTokens, outputTokens]) => {
     const own: number[] = [];
     server.start({
@@ -86,7 +76,7 @@
     seed: 1,
     gateways: 1,
     servers: 12,
-    engine: ENGINE,
+    engine: SHEET_ENGINE,
     load,
   });
   expect(first?.outcome).toEqual('on-time');
@@ -110,7 +100,7 @@
       seed: 1,
       gateways: 3,
       servers: 12,
-      engine: ENGINE,
+      engine: SHEET_ENGINE,
       load,
       baselinePartTokens,
     });
--- /dev/null
+++ b/playground/src/emulator/sheet_engine.ts
@@ -0,0 +1,13 @@
+import type {EmulatedEngine} from './emulated_engine.js';
+
+/** The model engines of the users' sheets. */
+export const SHEET_ENGINE: EmulatedEngine = {
+  slots: 11,
+  stepMs: 0.85,
+  sequenceStepMs: 0.004,
+  prefillTokensPerMs: 177,
+  attentionMsPerMillionPairs: 0.184,
+  stepsPerPass: 51,
+  chunkTokens: 2_048,
+  memoryTokens: 315_000,
+};
--- a/playground/src/index.ts
+++ b/playground/src/index.ts
@@ -18,4 +18,5 @@
 export * from './processes/start_fleet.js';
 export * from './emulator/draw_load.js';
 export * from './emulator/run_emulation.js';
+export * from './emulator/sheet_engine.js';
 export * from './random/create_random.js';
