revert: wait a moment before a request goes elsewhere after a crash

Traced by printing the wrong answer: an innocent request, broken off by the first crash, now goes out again at the same tick as the one that crashes engines. Where both come to one door, the innocent one is dispatched to the engine in the moment it has crashed, breaks off a second time and is convicted.

On the platform's path nothing changes, as a gateway does not report crashes to the call machine.

--- a/packages/decisions/src/calls/call_links.ts
+++ b/packages/decisions/src/calls/call_links.ts
@@ -33,7 +33,7 @@
         'backend-lost',
         'The node that ran the request has been replaced.',
       );
-  return callRecovery.afterFailure(unran, failure, options);
+  return callRecovery.afterFailure(unran, failure, false, options);
 }
 
 function onLinkDown(
@@ -62,7 +62,7 @@
       'backend-lost',
       'The node that ran the request has restarted.',
     );
-    return callRecovery.afterFailure(state, failure, options);
+    return callRecovery.afterFailure(state, failure, false, options);
   }
   return attach({...state, phase: 'active', heardAt: now}, now);
 }
--- a/packages/decisions/src/calls/call_machine.ts
+++ b/packages/decisions/src/calls/call_machine.ts
@@ -124,7 +124,6 @@
 function onTick(state: CallState, options: CallOptions, now: number): CallStep {
   if (now >= options.deadlineAt) return onDeadline(state);
   if (state.phase === 'routing') {
-    if (now < (state.routeAt ?? 0)) return quiet(state);
     return callRecovery.routeAgain(state, state.exclude);
   }
   if (state.phase === 'detached') {
@@ -133,7 +132,7 @@
       'link-lost',
       'The node that ran the request can no longer be reached.',
     );
-    return callRecovery.afterFailure(state, failure, options);
+    return callRecovery.afterFailure(state, failure, false, options);
   }
   const silentSince = Math.max(state.heardAt, state.askedAt);
   const isWaiting = state.phase === 'opening' || state.phase === 'active';
@@ -158,13 +157,8 @@
     callRecovery.afterRefusal(state, event.failure, options),
   tokens: (state, event, _options, now) => onTokens(state, event, now),
   done: (state, event, _options, now) => onDone(state, event, now),
-  failed: (state, event, options, now) =>
-    callRecovery.afterFailure(
-      state,
-      event.failure,
-      options,
-      event.crashed ? now : undefined,
-    ),
+  failed: (state, event, options) =>
+    callRecovery.afterFailure(state, event.failure, event.crashed, options),
   alive: (state, _event, _options, now) =>
     state.phase === 'opening'
       ? onAccepted(state, now)
--- a/packages/decisions/src/calls/call_recovery.ts
+++ b/packages/decisions/src/calls/call_recovery.ts
@@ -9,12 +9,6 @@
 /** Crashes after which a request is not tried again. */
 const CRASHES_MAX = 2;
 
-/**
- * Milliseconds before a request goes to another engine after a crash. Where
- * several engines crash at once, the others are known to be down by then.
- */
-const CRASH_PAUSE_MS = 200;
-
 function ranOf(state: CallState, failure: Failure): Failure['ran'] {
   if (state.ran === 'no') return failure.ran;
   return state.nextIndex > 0 ? 'yes' : state.ran;
@@ -43,21 +37,13 @@
   };
 }
 
-function afterCrash(
-  state: CallState,
-  failure: Failure,
-  crashedAt: number,
-): CallStep {
+function afterCrash(state: CallState, failure: Failure): CallStep {
   const crashes = state.crashes + 1;
   const record: CallCommand = {type: 'crashed', crashes};
   const counted = {...state, crashes};
   if (crashes < CRASHES_MAX) {
-    const exclude = state.agentId ? [state.agentId] : [];
-    const routeAt = crashedAt + CRASH_PAUSE_MS;
-    return {
-      state: {...counted, phase: 'routing', exclude, routeAt},
-      commands: [record],
-    };
+    const again = routeAgain(counted, state.agentId ? [state.agentId] : []);
+    return {state: again.state, commands: [record, ...again.commands]};
   }
   const refused = end(
     counted,
@@ -99,15 +85,12 @@
     return routeAgain(next, refusedBy);
   },
 
-  /**
-   * Follows a failure of an attempt that may have run; `crashedAt` is the
-   * time at which its engine crashed, where it did.
-   */
+  /** Follows a failure of an attempt that may have run. */
   afterFailure(
     state: CallState,
     failure: Failure,
+    crashed: boolean,
     options: CallOptions,
-    crashedAt?: number,
   ): CallStep {
     const ran = failure.ran === 'no' ? state.ran : failure.ran;
     const next = {...state, ran, lastFailure: failure, refusedBy: []};
@@ -116,9 +99,7 @@
     if (!mayRepeat || !mayMove || state.attempts >= options.maxAttempts) {
       return end(next, failure);
     }
-    if (crashedAt !== undefined && state.nextIndex === 0) {
-      return afterCrash(next, failure, crashedAt);
-    }
+    if (crashed && state.nextIndex === 0) return afterCrash(next, failure);
     return routeAgain(next, state.agentId ? [state.agentId] : []);
   },
 };
--- a/packages/decisions/src/calls/call_state.ts
+++ b/packages/decisions/src/calls/call_state.ts
@@ -25,8 +25,6 @@
   readonly lastFailure?: Failure;
   /** Agents that the next choice leaves out. */
   readonly exclude: readonly string[];
-  /** Time before which the request is not routed again. */
-  readonly routeAt?: number;
   /** Time since which no agent could be reached. */
   readonly unroutedSince?: number;
 }
