--- a/packages/decisions/src/calls/suspect_table.ts
+++ b/packages/decisions/src/calls/suspect_table.ts
@@ -1,3 +1,4 @@
+import {mapNewest} from '../shared/map_newest.js';
 import {mapWith} from '../shared/map_with.js';
 
 /** What is known of a request that was in flight when an engine crashed. */
@@ -19,12 +20,6 @@
 /** Largest number of suspects a node remembers. */
 const SUSPECTS_MAX = 4_096;
 
-function bound(table: Table): Table {
-  const excess = table.size - SUSPECTS_MAX;
-  if (excess <= 0) return table;
-  return new Map([...table].slice(excess));
-}
-
 /** Fingerprints of requests that may crash the engine that runs them. */
 export const suspectTable = {
   empty(): Table {
@@ -39,13 +34,12 @@
     now: number,
   ): Table {
     const known = table.get(fingerprint)?.crashes ?? 0;
-    return bound(
-      mapWith(table, fingerprint, {
-        fingerprint,
-        crashes: Math.max(known, crashes),
-        expiresAt: now + SUSPECT_TTL_MS,
-      }),
-    );
+    const next = mapWith(table, fingerprint, {
+      fingerprint,
+      crashes: Math.max(known, crashes),
+      expiresAt: now + SUSPECT_TTL_MS,
+    });
+    return mapNewest(next, SUSPECTS_MAX);
   },
 
   /** Returns the crashes recorded for a request. */
--- a/packages/decisions/src/door/door_dispatch.ts
+++ b/packages/decisions/src/door/door_dispatch.ts
@@ -39,9 +39,8 @@
 }
 
 function hasOverdueLong(state: DoorState, now: number): boolean {
-  const rate = prefillMeter.rate(state.meter);
   return longPrefills(state).some(run => {
-    const undisturbedMs = (run.call.promptTokens / rate) * 1_000;
+    const undisturbedMs = doorLoad.prefillMs(state, run.call.promptTokens);
     return now - run.dispatchedAt > undisturbedMs * OVERDUE_FACTOR;
   });
 }
--- a/packages/decisions/src/door/door_load.ts
+++ b/packages/decisions/src/door/door_load.ts
@@ -24,10 +24,6 @@
   return sum(calls.map(call => call.promptTokens));
 }
 
-function prefillMs(state: DoorState, tokens: number): number {
-  return (tokens / prefillMeter.rate(state.meter)) * MS_PER_SECOND;
-}
-
 function callTokens(state: DoorState): number {
   return sum(
     [...state.running.values()]
@@ -49,6 +45,11 @@
   /** Calls whose prompt is being prefilled. */
   prefills,
 
+  /** Time in milliseconds of prefilling tokens at the measured rate. */
+  prefillMs(state: DoorState, tokens: number): number {
+    return (tokens / prefillMeter.rate(state.meter)) * MS_PER_SECOND;
+  },
+
   /** Tokens that no running call and no granted reservation holds. */
   unheldTokens(state: DoorState, options: DoorOptions): number {
     return options.totalTokens - callTokens(state) - reserved(state, true);
@@ -94,7 +95,7 @@
     const byShare = promptTokens(own) * new Set(names).size;
     const ahead = Math.max(promptTokens(queued), byShare);
     const tokens = ahead + promptTokens(running) + call.promptTokens;
-    return prefillMs(state, tokens);
+    return doorLoad.prefillMs(state, tokens);
   },
 
   /** Time in milliseconds until a call alone has its first tokens. */
@@ -104,7 +105,9 @@
       call.totalTokens - call.promptTokens,
     );
     const intervalMs = state.coldStart.usualIntervalMs ?? 0;
-    return prefillMs(state, call.promptTokens) + generated * intervalMs;
+    return (
+      doorLoad.prefillMs(state, call.promptTokens) + generated * intervalMs
+    );
   },
 
   /** The same for a queued call that is dispatched after running prefills. */
@@ -113,7 +116,8 @@
       .map(run => run.call)
       .filter(other => other.callClass !== 'long');
     return (
-      prefillMs(state, promptTokens(ahead)) + doorLoad.aloneMs(state, call)
+      doorLoad.prefillMs(state, promptTokens(ahead)) +
+      doorLoad.aloneMs(state, call)
     );
   },
 };
--- a/packages/decisions/src/serving/crash_suspects.ts
+++ b/packages/decisions/src/serving/crash_suspects.ts
@@ -1,3 +1,4 @@
+import {mapNewest} from '../shared/map_newest.js';
 import {mapWith} from '../shared/map_with.js';
 import {mapWithout} from '../shared/map_without.js';
 
@@ -53,10 +54,7 @@
     if (known && now - heldMs < known.updatedAt) return suspects;
     const serverIds = new Set([...(known?.serverIds ?? []), serverId]);
     const next = mapWith(suspects, fingerprint, {serverIds, updatedAt: now});
-    const oldest = [...next.keys()].slice(0, next.size - SUSPECTS_MAX);
-    return next.size > SUSPECTS_MAX
-      ? oldest.reduce((rest, key) => mapWithout(rest, key), next)
-      : next;
+    return mapNewest(next, SUSPECTS_MAX);
   },
 
   /** Notes that a server answered the request, so it crashes none. */
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -55,7 +55,7 @@
   {
     what: 'an unknown key',
     kind: 'read',
-    key: {workspace: '', apiKey: 'nobody', isKnown: false},
+    key: {workspace: '', apiKey: 'nobody'},
     expected: 401,
   },
 ] as const;
@@ -135,7 +135,6 @@
     count,
     gateways: world.gateways,
     port: SOAK_PORTS.callers,
-    now,
   });
   const plan = planSoak({seed, durationMs, gateways, servers: models + plains});
   await until(() => isServing(callers, world), RECOVER_MS);
--- a/playground/src/soak/soak_callers.ts
+++ b/playground/src/soak/soak_callers.ts
@@ -7,22 +7,20 @@
 interface CallersOptions {
   readonly seed: number;
   readonly count: number;
-  readonly gateways: readonly {readonly name: string; readonly host: string}[];
+  readonly gateways: readonly {readonly host: string}[];
   readonly port: number;
-  readonly now: () => number;
 }
 
 interface Key {
   readonly workspace: string;
   readonly apiKey: string;
-  readonly isKnown: boolean;
 }
 
 const KEYS: readonly Key[] = [
-  {workspace: 'lindenau', apiKey: 'key-a', isKnown: true},
-  {workspace: 'lindenau', apiKey: 'key-b', isKnown: true},
-  {workspace: 'thistlebrae', apiKey: 'key-c', isKnown: true},
-  {workspace: '', apiKey: 'key-of-nobody', isKnown: false},
+  {workspace: 'lindenau', apiKey: 'key-a'},
+  {workspace: 'lindenau', apiKey: 'key-b'},
+  {workspace: 'thistlebrae', apiKey: 'key-c'},
+  {workspace: '', apiKey: 'key-of-nobody'},
 ];
 
 const KINDS = ['stream', 'stream', 'read', 'book'] as const;
@@ -87,7 +85,7 @@
       readonly leavesAfterMs?: number;
     },
   ): Promise<CallerOutcome> {
-    const {gateways, port, now} = this.options;
+    const {gateways, port} = this.options;
     const {kind, key = KEYS[0], leavesAfterMs} = what;
     const gateway = gateways[what.gateway];
     if (!gateway || !key) throw new Error('A run needs gateways and keys.');
@@ -100,8 +98,6 @@
       target: `/${kind}/${requestId}/?q=1`,
       body: kind === 'read' ? '' : `body of ${requestId}`,
       workspace: key.workspace,
-      hasKnownKey: key.isKnown,
-      gateway: gateway.name,
       agent,
       address: {host: gateway.host, port},
       apiKey: key.apiKey,
@@ -109,7 +105,6 @@
       outputTokens: 1 + this.below(OUTPUT_MAX),
       timeoutMs: TIMEOUT_MS,
       leavesAfterMs,
-      now,
     });
     this.outcomes.push(outcome);
     return outcome;
--- a/playground/src/soak/soak_faults.ts
+++ b/playground/src/soak/soak_faults.ts
@@ -1,6 +1,7 @@
 import type {SoakAction} from './soak_action.js';
 import type {SoakEvidence} from './soak_evidence.js';
 import type {startSoakWorld} from './soak_world.js';
+import {SOAK_ZONES} from './soak_zones.js';
 
 type World = Awaited<ReturnType<typeof startSoakWorld>>;
 type Gateway = World['gateways'][number];
@@ -54,7 +55,7 @@
       stand.setFault('none');
     });
     await Promise.all(servers.map(server => server.start()));
-    ['nord', 'werk', 'sued'].forEach(zone => store.remove('evacuations', zone));
+    SOAK_ZONES.forEach(zone => store.remove('evacuations', zone));
     configure({...config(), hasReadRoute: true});
   }
 
@@ -188,7 +189,7 @@
     },
     'zone-out': action => {
       const {store} = this.options.world;
-      const zone = ['nord', 'werk', 'sued'][action.target % 3] ?? '';
+      const zone = SOAK_ZONES[action.target % SOAK_ZONES.length] ?? '';
       store.put('evacuations', zone, {});
       this.later(action.forMs, () => store.remove('evacuations', zone));
     },
--- a/playground/src/soak/soak_world.ts
+++ b/playground/src/soak/soak_world.ts
@@ -11,6 +11,7 @@
 import {GatewayProcess} from './gateway_process.js';
 import {SOAK_PORTS} from './soak_ports.js';
 import {SoakServer} from './soak_server.js';
+import {SOAK_ZONES} from './soak_zones.js';
 
 interface WorldOptions {
   readonly gateways: number;
@@ -48,8 +49,6 @@
   readonly hasReadRoute: boolean;
 }
 
-const ZONES = ['nord', 'werk', 'sued'];
-
 const FIRST_CONFIG: ConfigState = {
   version: 1,
   keys: {lindenau: ['key-a', 'key-b'], thistlebrae: ['key-c']},
@@ -57,7 +56,7 @@
 };
 
 function zoneOf(index: number): string {
-  return ZONES[index % ZONES.length] ?? '';
+  return SOAK_ZONES[index % SOAK_ZONES.length] ?? '';
 }
 
 /** Starts a store, backend servers and gateways, with relays between them. */
