feat(gateway): respect servers that leave and servers that ask for a pause

Cause: a backend server now says in all its responses that it is leaving (Server-Leaving), and how long it wants no requests (Retry-After of a 503). The gateway read neither: it went on sending until service discovery said so.

Change: every response, orders included, yields a notice. Leaving is kept by server process for ten minutes, whatever the store lists afterwards (also for a server once listed as draining), told to the other gateways at once and to each new link. A pause is kept for one server at one gateway. Both are strict: unlike avoidance after failures there is no fallback. Prompts that waited for memory are placed again if a server closed meanwhile. If all servers pause, the caller gets Retry-After of the first pause that ends. Fractions count, 0, dates and other text are no pause, 60 s is the most.

Renewals and releases of reservations still go to such servers: without them a running prompt would be cut off.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -118,6 +118,8 @@
 export * from './serving/prompt_plan.js';
 export * from './serving/work_change.js';
 export * from './serving/known_servers.js';
+export * from './serving/server_notice.js';
+export * from './serving/server_notices.js';
 export * from './serving/prompt_worth.js';
 export * from './serving/partition_servers.js';
 export * from './serving/crash_suspects.js';
--- a/packages/decisions/src/serving/__tests__/eligible_servers.test.ts
+++ b/packages/decisions/src/serving/__tests__/eligible_servers.test.ts
@@ -4,6 +4,7 @@
 import {eligibleServers} from '../eligible_servers.js';
 import {fleetLoad} from '../fleet_load.js';
 import type {ServerHealth} from '../server_health.js';
+import {serverNotices} from '../server_notices.js';
 import {passiveHealth} from '../passive_health.js';
 
 const NOW = 1_000;
@@ -31,6 +32,7 @@
     load: fleetLoad.empty(),
     health: new Map<string, ServerHealth>(),
     evacuatedZones: new Set<string>(),
+    notices: serverNotices.empty(),
     ...options,
   };
   return eligibleServers(
@@ -122,3 +124,16 @@
   expect(full.consecutiveUnreachable).toEqual(0);
   expect(passiveHealth.failureRate(full, NOW)).toEqual(0);
 });
+
+test('a server that leaves or asked for a pause is never eligible', () => {
+  const leaving = serverNotices.recordLeaving(
+    serverNotices.empty(),
+    {id: 'a'},
+    NOW,
+  );
+  const notices = serverNotices.recordPause(leaving, 'b', 500, NOW);
+  expect(eligible([server('a'), server('b')], {notices})).toEqual([]);
+  expect(eligible([server('a'), server('b'), server('c')], {notices})).toEqual([
+    'c',
+  ]);
+});
--- a/packages/decisions/src/serving/eligible_servers.ts
+++ b/packages/decisions/src/serving/eligible_servers.ts
@@ -3,6 +3,7 @@
 import type {FleetLoadState} from './fleet_load_state.js';
 import {fleetLoad} from './fleet_load.js';
 import {passiveHealth} from './passive_health.js';
+import {serverNotices} from './server_notices.js';
 import type {ServerHealth} from './server_health.js';
 import type {ServingService} from './serving_service.js';
 
@@ -15,6 +16,8 @@
   readonly health: ReadonlyMap<string, ServerHealth>;
   /** Availability zones from which operators have withdrawn traffic. */
   readonly evacuatedZones: ReadonlySet<string>;
+  /** What servers have said of themselves; these wishes bind always. */
+  readonly notices: ReturnType<typeof serverNotices.empty>;
 }
 
 function isWithinColdRate(
@@ -44,6 +47,7 @@
     .filter(({state}) => state === 'ready')
     .filter(({zone}) => !fleet.evacuatedZones.has(zone))
     .filter(({id}) => !exclude.includes(id))
+    .filter(server => serverNotices.isOpen(fleet.notices, server, now))
     .map(server => ({
       server,
       load: fleetLoad.serverLoad(fleet.load, server.id, now),
--- a/packages/decisions/src/serving/work_change.ts
+++ b/packages/decisions/src/serving/work_change.ts
@@ -17,6 +17,13 @@
       readonly type: 'unreachable';
       readonly serverId: string;
     }
+  | {
+      /** A backend server has said that it is shutting down. */
+      readonly type: 'leaving';
+      readonly serverId: string;
+      /** Start of the process that leaves, in Unix milliseconds. */
+      readonly processStartedAt?: number;
+    }
   | {
       /** A backend server closed the connection while it ran a request. */
       readonly type: 'broke';
--- a/packages/gateway/src/__tests__/gateway_call.test.ts
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -211,7 +211,7 @@
   const {received} = serve('/book/x');
   expect(received.failure?.kind).toEqual('no-backend-server');
   expect(received.failure?.message).toEqual(
-    'No backend server of service plain can take the request now. Listed: 2, ready: 2, in evacuated zones: 2, avoided: 0.',
+    'No backend server of service plain can take the request now. Listed: 2, ready: 2, in evacuated zones: 2, avoided: 0, leaving: 0, paused: 0.',
   );
 });
 
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -1,4 +1,8 @@
-import type {BackendServer, ServingConfig} from '@figfall/decisions';
+import type {
+  BackendServer,
+  ServingConfig,
+  WorkChange,
+} from '@figfall/decisions';
 import type {Failure} from '@figfall/decisions';
 import {createGatewayMetrics} from '../core/create_gateway_metrics.js';
 import {Fleet} from '../core/fleet.js';
@@ -92,6 +96,7 @@
 ) {
   const clock = {now: 1_000};
   const attempts: SentAttempt[] = [];
+  const announced: WorkChange[] = [];
   const client: BackendClient = {
     send: (req, onEvent) => {
       const attempt: SentAttempt = {
@@ -117,7 +122,7 @@
     zone: 'nord',
     random: () => 0.5,
     now: () => clock.now,
-    announce: () => undefined,
+    announce: change => announced.push(change),
     onAvoided: () => undefined,
   });
   const core = new GatewayCore({
@@ -175,5 +180,5 @@
     );
     return {received, call};
   };
-  return {clock, attempts, core, fleet, configure, serve};
+  return {clock, attempts, announced, core, fleet, configure, serve};
 }
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -90,10 +90,19 @@
       this.options.fleet.recordOutcome(server.id, DENIAL_OUTCOMES[result]),
     );
     if (this.hasEnded) return;
-    if (denials.length > 0) this.options.onDenied();
+    if (denials.length > 0 || !this.areServersOpen()) this.options.onDenied();
     else this.send();
   }
 
+  /** False if a server left or paused while memory was being reserved. */
+  private areServersOpen(): boolean {
+    const {fleet, server, placement} = this.options;
+    const helpers = placement.helpers.flatMap(
+      ({serverId}) => fleet.find(serverId) ?? [],
+    );
+    return [server, ...helpers].every(other => fleet.isOpen(other));
+  }
+
   private send(): void {
     const {spec, server, placement, fleet, client, now} = this.options;
     const {attemptId, lastEventId, onEvent} = this.options;
--- a/packages/gateway/src/core/add_fleet_gauges.ts
+++ b/packages/gateway/src/core/add_fleet_gauges.ts
@@ -8,6 +8,8 @@
   'draining',
   'zoneOut',
   'avoided',
+  'leaving',
+  'paused',
   'working',
 ] as const;
 
--- a/packages/gateway/src/core/count_servers.ts
+++ b/packages/gateway/src/core/count_servers.ts
@@ -1,10 +1,5 @@
-import type {BackendServer, ServerHealth} from '@figfall/decisions';
-
-interface FleetView {
-  readonly servers: readonly BackendServer[];
-  readonly health: ReadonlyMap<string, ServerHealth>;
-  readonly evacuatedZones: ReadonlySet<string>;
-}
+import {serverNotices} from '@figfall/decisions';
+import type {FleetView} from './fleet_view.js';
 
 interface ServerCounts {
   readonly ready: number;
@@ -13,11 +8,15 @@
   readonly zoneOut: number;
   /** Servers that are avoided after failures. */
   readonly avoided: number;
+  /** Servers that said that they are shutting down. */
+  readonly leaving: number;
+  /** Servers that asked for a pause. */
+  readonly paused: number;
 }
 
 /** Counts backend servers by state; a server may be counted several times. */
 export function countServers(
-  {servers, health, evacuatedZones}: FleetView,
+  {servers, health, notices, evacuatedZones}: FleetView,
   now: number,
 ): ServerCounts {
   const ready = servers.filter(({state}) => state === 'ready');
@@ -27,5 +26,10 @@
     zoneOut: ready.filter(({zone}) => evacuatedZones.has(zone)).length,
     avoided: servers.filter(({id}) => (health.get(id)?.avoidUntil ?? 0) > now)
       .length,
+    leaving: servers.filter(server => serverNotices.isLeaving(notices, server))
+      .length,
+    paused: servers.filter(
+      ({id}) => serverNotices.pauseLeftMs(notices, id, now) > 0,
+    ).length,
   };
 }
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -1,15 +1,9 @@
-import {
-  createFailure,
-  eligibleServers,
-  fleetLoad,
-  passiveHealth,
-} from '@figfall/decisions';
+import {createFailure, eligibleServers, fleetLoad} from '@figfall/decisions';
 import type {
   BackendServer,
   Failure,
-  PromptPlan,
   RandomSource,
-  ServerHealth,
+  ServerNotice,
   WorkChange,
   WorkItem,
 } from '@figfall/decisions';
@@ -18,8 +12,11 @@
 import type {CallSpec} from '../calls/call_spec.js';
 import {countServers} from './count_servers.js';
 import {CrashSuspectList} from './crash_suspect_list.js';
+import {describeRefusal} from './describe_refusal.js';
+import type {FleetView} from './fleet_view.js';
 import type {Placement} from './placement.js';
 import {planRequest} from './plan_request.js';
+import {ServerObservations} from './server_observations.js';
 
 interface FleetOptions {
   /** Unique id of this gateway's process, as owner of its work. */
@@ -28,13 +25,13 @@
   readonly zone: string;
   readonly random: RandomSource;
   readonly now: () => number;
-  /** Called when a server will be avoided for `ms` milliseconds. */
-  readonly onAvoided: (serverId: string, reason: string, ms: number) => void;
+  /** Called when a server will be avoided, for `ms` milliseconds or for good. */
+  readonly onAvoided: (serverId: string, reason: string, ms?: number) => void;
   /** Sends a change of this gateway's work to other gateways. */
   readonly announce: (change: WorkChange) => void;
 }
 
-type Outcome = Parameters<typeof passiveHealth.record>[1];
+type Outcome = Parameters<ServerObservations['recordOutcome']>[1];
 
 /** A gateway's view of the backend servers, their health and their load. */
 export class Fleet {
@@ -42,12 +39,13 @@
   private byId: ReadonlyMap<string, BackendServer> = new Map();
   private evacuatedZones: ReadonlySet<string> = new Set();
   private load = fleetLoad.empty();
-  private readonly health = new Map<string, ServerHealth>();
+  private readonly observations: ServerObservations;
   /** Requests that may crash backend servers. */
   readonly crashSuspects: CrashSuspectList;
 
   constructor(private readonly options: FleetOptions) {
     const {now} = options;
+    this.observations = new ServerObservations(options);
     this.crashSuspects = new CrashSuspectList({
       now,
       applyAndAnnounce: change => this.applyAndAnnounce(change),
@@ -58,9 +56,10 @@
   setServers(servers: readonly BackendServer[]): void {
     this.servers = servers;
     this.byId = new Map(servers.map(server => [server.id, server]));
-    [...this.health.keys()]
-      .filter(id => !this.byId.has(id))
-      .forEach(id => this.health.delete(id));
+    this.observations.retainHealth(this.byId);
+    servers
+      .filter(({state}) => state === 'draining')
+      .forEach(server => this.observations.recordLeaving(server));
   }
 
   /** Sets the availability zones whose servers get no requests. */
@@ -100,47 +99,33 @@
       return err(createFailure('not-ready', 'The prompt waits for servers.'));
     }
     this.endWait(requestId);
-    if (plan?.type !== 'start') return err(this.refusal(spec, plan));
+    if (plan?.type === 'refuse') {
+      const {reason, retryAfterMs: delayMs} = plan;
+      const details = {retryAfterMs: delayMs};
+      return err(createFailure('deadline-infeasible', reason, details));
+    }
+    if (!plan)
+      return err(describeRefusal(this.view(), spec.service.name, now()));
     this.crashSuspects.recordTrial(spec);
     return ok({...plan.placement, candidates: candidates.length});
   }
 
   private candidates(spec: CallSpec, exclude: readonly string[]) {
-    const {servers, load, health, evacuatedZones, options} = this;
-    const fleet = {servers, load, health, evacuatedZones};
-    return eligibleServers(fleet, spec.service, exclude, options.now());
+    const fleet = {...this.view(), load: this.load};
+    return eligibleServers(fleet, spec.service, exclude, this.options.now());
   }
 
-  private refusal(
-    spec: CallSpec,
-    plan: Extract<PromptPlan, {readonly type: 'refuse'}> | undefined,
-  ): Failure {
-    if (plan) {
-      const {reason, retryAfterMs} = plan;
-      return createFailure('deadline-infeasible', reason, {retryAfterMs});
-    }
-    const message = `No backend server of service ${spec.service.name} can take the request now. ${this.summary(spec)}`;
-    return createFailure('no-backend-server', message);
-  }
-
-  /** Counts the servers of the request's service, for an error message. */
-  private summary({service}: CallSpec): string {
-    const {health, evacuatedZones, options} = this;
-    const servers = this.servers.filter(
-      ({service: name}) => name === service.name,
-    );
-    const counts = countServers(
-      {servers, health, evacuatedZones},
-      options.now(),
-    );
-    return `Listed: ${servers.length}, ready: ${counts.ready}, in evacuated zones: ${counts.zoneOut}, avoided: ${counts.avoided}.`;
+  private view(): FleetView {
+    const {servers, evacuatedZones, observations} = this;
+    const {health, notices} = observations;
+    return {servers, health, notices, evacuatedZones};
   }
 
   /** Counts servers by state, and waiting prompts, for metrics. */
   counts() {
-    const {servers, health, evacuatedZones, load, options} = this;
+    const {load, options} = this;
     return {
-      ...countServers({servers, health, evacuatedZones}, options.now()),
+      ...countServers(this.view(), options.now()),
       waiting: load.waiting.size,
       working: load.byServer.size,
     };
@@ -176,9 +161,13 @@
     this.applyAndAnnounce({type: 'end', workId});
   }
 
-  /** All work of this gateway, as changes for a newly linked gateway. */
-  ownWork(): readonly WorkChange[] {
-    return fleetLoad.changesOfOwner(this.load, this.options.owner);
+  /**
+   * What a newly linked gateway should know: all work of this gateway, and the
+   * servers known to leave.
+   */
+  changesForNewPeer(): readonly WorkChange[] {
+    const work = fleetLoad.changesOfOwner(this.load, this.options.owner);
+    return [...this.observations.leavingChanges(), ...work];
   }
 
   /** Applies a change that another gateway announced. */
@@ -204,8 +193,13 @@
         this.crashSuspects.apply(change);
         return this.load;
       case 'unreachable':
-        this.updateHealth(change.serverId, 'unreachable');
+        this.observations.recordOutcome(change.serverId, 'unreachable');
+        return this.load;
+      case 'leaving': {
+        const {serverId: id, processStartedAt} = change;
+        this.observations.recordLeaving({id, processStartedAt});
         return this.load;
+      }
     }
   }
 
@@ -219,6 +213,7 @@
   prune(owner?: string): void {
     this.load = fleetLoad.removeStale(this.load, owner, this.options.now());
     this.crashSuspects.removeExpired();
+    this.observations.removeExpired();
   }
 
   /** Records how an attempt at a server ended. */
@@ -226,7 +221,24 @@
     if (outcome === 'unreachable') {
       return this.applyAndAnnounce({type: 'unreachable', serverId});
     }
-    this.updateHealth(serverId, outcome);
+    this.observations.recordOutcome(serverId, outcome);
+  }
+
+  /** Records what a response said of the server that sent it. */
+  recordNotice(
+    {id, processStartedAt}: BackendServer,
+    {isLeaving, pauseMs}: ServerNotice,
+  ): void {
+    if (pauseMs > 0) this.observations.recordPause(id, pauseMs);
+    const server = {id, processStartedAt};
+    if (!isLeaving || !this.observations.recordLeaving(server)) return;
+    const {announce} = this.options;
+    announce({type: 'leaving', serverId: id, processStartedAt});
+  }
+
+  /** True if a server takes new requests from this gateway. */
+  isOpen(server: BackendServer): boolean {
+    return this.observations.isOpen(server);
   }
 
   /** Records that the server at an address (`host:port`) can't be reached. */
@@ -235,15 +247,4 @@
       .filter(({host, port}) => `${host}:${port}` === address)
       .forEach(({id}) => this.recordOutcome(id, 'unreachable'));
   }
-
-  private updateHealth(serverId: string, outcome: Outcome): void {
-    const {now, onAvoided} = this.options;
-    const at = now();
-    const health = this.health.get(serverId) ?? passiveHealth.initial(at);
-    const next = passiveHealth.record(health, outcome, at);
-    this.health.set(serverId, next);
-    if (next.avoidUntil > health.avoidUntil) {
-      onAvoided(serverId, outcome, next.avoidUntil - at);
-    }
-  }
 }
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -64,7 +64,7 @@
   addLink(link: Link): void {
     this.links.add(link);
     this.sendAddresses(link);
-    const changes = this.options.fleet.ownWork();
+    const changes = this.options.fleet.changesForNewPeer();
     link.send(WORK_STREAM, {type: 'work', changes});
   }
 
--- a/packages/http-client/src/exchange.ts
+++ b/packages/http-client/src/exchange.ts
@@ -18,6 +18,7 @@
     ok({
       status: res.statusCode ?? 0,
       contentType: res.headers['content-type'] ?? 'application/octet-stream',
+      headers: res.headers,
       body: bytes,
     }),
   );
