feat(store): start over when the store comes back from an older copy

Cause: in a drill the store may come back from a copy some seconds old and give revisions out again. The watches took revisions as growing for ever: a watch went on from a revision of the other history, lower hints were ignored, and decoded servers were cached by revision alone.

Soak: the store is restored, servers leave without being listed as draining and ask for pauses; two checks.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -117,6 +117,7 @@
 export * from './serving/plan_prompt.js';
 export * from './serving/prompt_plan.js';
 export * from './serving/work_change.js';
+export * from './serving/known_evacuations.js';
 export * from './serving/known_servers.js';
 export * from './serving/server_notice.js';
 export * from './serving/server_notices.js';
--- a/packages/decisions/src/serving/__tests__/known_servers.test.ts
+++ b/packages/decisions/src/serving/__tests__/known_servers.test.ts
@@ -54,3 +54,29 @@
   );
   expect(ids(next)).toEqual(['i-0', 'i-9']);
 });
+
+test('a server that a restored store lacks is kept until it may register again', () => {
+  const full = knownServers.applyListing(
+    knownServers.empty(),
+    {servers: [a, b], restoredAt: 0},
+    0,
+  );
+  const restored = {servers: [a], restoredAt: 9_000, isRestored: true};
+  const next = knownServers.applyListing(full, restored, 9_000);
+  expect(ids(next)).toEqual(['i-0', 'i-1']);
+  expect(ids(knownServers.removeExpired(next, 11_200))).toEqual(['i-0']);
+});
+
+test('a server that was gone before the store was restored is not used at once', () => {
+  const withoutB = knownServers.applyListing(
+    knownServers.empty(),
+    {servers: [a], restoredAt: 0},
+    0,
+  );
+  const restored = {servers: [a, b], restoredAt: 9_000, isRestored: true};
+  const next = knownServers.applyListing(withoutB, restored, 9_000);
+  expect(ids(next)).toEqual(['i-0']);
+  const later = {servers: [a, b], restoredAt: 9_000};
+  expect(ids(knownServers.applyListing(next, later, 10_000))).toEqual(['i-0']);
+  expect(ids(knownServers.removeExpired(next, 14_000))).toEqual(['i-0', 'i-1']);
+});
--- a/packages/decisions/src/serving/known_servers.ts
+++ b/packages/decisions/src/serving/known_servers.ts
@@ -6,11 +6,20 @@
  */
 const REREGISTRATION_MS = 2_100;
 
+/**
+ * Time in milliseconds for which a server is not used that was gone before the
+ * store came back from an older copy. If it is alive, it registers again and
+ * is still listed then.
+ */
+const DOUBTFUL_MS = 5_000;
+
 /** Backend servers that a gateway may use. */
 interface KnownServers {
   readonly listed: readonly BackendServer[];
   /** Servers that are no longer listed, but may register again. */
   readonly unlisted: readonly BackendServer[];
+  /** Ids of listed servers that had been gone before, and until when. */
+  readonly doubtfulUntil: ReadonlyMap<string, number>;
   /** Time in milliseconds at which the store was last reachable again. */
   readonly restoredAt: number;
 }
@@ -20,12 +29,22 @@
   readonly servers: readonly BackendServer[];
   /** Time in milliseconds at which the store was last reachable again. */
   readonly restoredAt: number;
+  /**
+   * The store has come back from an older copy since the last listing.
+   * @default false
+   */
+  readonly isRestored?: boolean;
 }
 
 /** Tracks the listed servers, also through outages of the store. */
 export const knownServers = {
   empty(): KnownServers {
-    return {listed: [], unlisted: [], restoredAt: 0};
+    return {
+      listed: [],
+      unlisted: [],
+      doubtfulUntil: new Map(),
+      restoredAt: 0,
+    };
   },
 
   /**
@@ -37,29 +56,54 @@
     listing: Listing,
     now: number,
   ): KnownServers {
-    const {servers, restoredAt} = listing;
+    const {servers, restoredAt, isRestored = false} = listing;
     const ids = new Set(servers.map(({id}) => id));
     const addresses = new Set(servers.map(({host, port}) => `${host}:${port}`));
-    const missing = knownServers
-      .all(known)
+    const before = knownServers.all(known);
+    const missing = before
       .filter(({state}) => state === 'ready')
       .filter(
         ({id, host, port}) => !ids.has(id) && !addresses.has(`${host}:${port}`),
       );
     const isSettled = now - restoredAt >= REREGISTRATION_MS;
-    return {listed: servers, unlisted: isSettled ? [] : missing, restoredAt};
+    const isFirst = known.listed.length === 0;
+    const beforeIds = new Set(before.map(({id}) => id));
+    const returned =
+      isRestored && !isFirst ? [...ids].filter(id => !beforeIds.has(id)) : [];
+    const doubtful = returned.map(id => [id, now + DOUBTFUL_MS] as const);
+    return {
+      listed: servers,
+      unlisted: isSettled ? [] : missing,
+      doubtfulUntil: new Map([...known.doubtfulUntil, ...doubtful]),
+      restoredAt,
+    };
   },
 
-  /** Removes unlisted servers once their time to register again is over. */
+  /**
+   * Removes unlisted servers once their time to register again is over, and
+   * doubts about listed ones. Returns `known` if there is nothing to remove.
+   */
   removeExpired(known: KnownServers, now: number): KnownServers {
     const isDue = now - known.restoredAt >= REREGISTRATION_MS;
-    return known.unlisted.length > 0 && isDue
-      ? {...known, unlisted: []}
-      : known;
+    const unlisted = isDue ? [] : known.unlisted;
+    const doubtful = [...known.doubtfulUntil].filter(
+      ([, until]) => until > now,
+    );
+    const isUnchanged =
+      unlisted.length === known.unlisted.length &&
+      doubtful.length === known.doubtfulUntil.size;
+    return isUnchanged
+      ? known
+      : {...known, unlisted, doubtfulUntil: new Map(doubtful)};
   },
 
   /** Listed servers, followed by the unlisted ones that are still kept. */
-  all(known: KnownServers): readonly BackendServer[] {
-    return [...known.listed, ...known.unlisted];
+  all({
+    listed,
+    unlisted,
+    doubtfulUntil,
+  }: KnownServers): readonly BackendServer[] {
+    const trusted = listed.filter(({id}) => !doubtfulUntil.has(id));
+    return [...trusted, ...unlisted];
   },
 };
--- a/packages/gateway/src/__tests__/peer_table.test.ts
+++ b/packages/gateway/src/__tests__/peer_table.test.ts
@@ -72,3 +72,16 @@
   table.addLink(fakeLink('10.0.0.3:1').link);
   expect(table.rank()).toEqual(1);
 });
+
+test('revisions of an older era of the store are not repeated', () => {
+  const {table} = setUp();
+  const {link, sent} = fakeLink('10.0.0.1:1');
+  table.addLink(link);
+  table.announceRevision('config', 90, 1);
+  table.announceRevision('servers', 40, 2);
+  expect(sent.at(-1)).toEqual({
+    type: 'seen',
+    era: 2,
+    revisions: {servers: 40},
+  });
+});
--- a/packages/gateway/src/peers/open_peers.ts
+++ b/packages/gateway/src/peers/open_peers.ts
@@ -21,14 +21,22 @@
   /** Called with the number of linked gateways. */
   readonly onPeerCount: (count: number) => void;
   /** Called with the newest store revision of a kind that a peer has seen. */
-  readonly onRevisionSeen: (kind: string, revision: number) => void;
+  readonly onRevisionSeen: (
+    kind: string,
+    revision: number,
+    era: number,
+  ) => void;
 }
 
 interface Peers {
   /** Sends a change of this gateway's work to all linked gateways. */
   readonly announce: (change: WorkChange) => void;
   /** Sends the newest store revision of a kind to all linked gateways. */
-  readonly announceRevision: (kind: string, revision: number) => void;
+  readonly announceRevision: (
+    kind: string,
+    revision: number,
+    era: number,
+  ) => void;
   /** Position, from 0, of this gateway among the linked ones ordered by id. */
   readonly rank: () => number;
   /** Repeats the newest revisions and removes expired non-seed addresses. */
@@ -55,8 +63,9 @@
         );
       }
       if (message.type === 'seen') {
-        Object.entries(message.revisions).forEach(([kind, revision]) =>
-          options.onRevisionSeen(kind, revision),
+        const {revisions, era = 0} = message;
+        Object.entries(revisions).forEach(([kind, revision]) =>
+          options.onRevisionSeen(kind, revision, era),
         );
       }
       if (message.type === 'entries') table.addAddresses(message.addresses);
@@ -99,8 +108,8 @@
     table.start(pool.setPeers);
     return {
       announce: change => table.announce(change),
-      announceRevision: (kind, revision) =>
-        table.announceRevision(kind, revision),
+      announceRevision: (kind, revision, era) =>
+        table.announceRevision(kind, revision, era),
       rank: () => table.rank(),
       tick: () => table.tick(),
     };
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -28,8 +28,11 @@
   private readonly lastKnownAt = new Map<string, number>();
   private readonly addresses = new Map<string, HostPort>();
   private readonly links = new Set<Link>();
-  /** Newest store revision seen here, by kind of object. */
-  private revisions: Readonly<Record<string, number>> = {};
+  /** Newest store revision seen here, by kind of object, and its era. */
+  private seen: {
+    readonly era: number;
+    readonly revisions: Readonly<Record<string, number>>;
+  } = {era: 0, revisions: {}};
   private pendingChanges: WorkChange[] = [];
   private setPeers: (peers: readonly PeerAddress[]) => void = () => undefined;
 
@@ -69,8 +72,9 @@
   }
 
   /** Sends the newest store revision of a kind to all linked gateways. */
-  announceRevision(kind: string, revision: number): void {
-    this.revisions = {...this.revisions, [kind]: revision};
+  announceRevision(kind: string, revision: number, era: number): void {
+    const known = this.seen.era === era ? this.seen.revisions : {};
+    this.seen = {era, revisions: {...known, [kind]: revision}};
     this.links.forEach(link => this.sendRevisions(link));
   }
 
@@ -129,7 +133,7 @@
   }
 
   private sendRevisions(link: Link): void {
-    link.send(WORK_STREAM, {type: 'seen', revisions: this.revisions});
+    link.send(WORK_STREAM, {type: 'seen', ...this.seen});
   }
 
   private flush(): void {
--- a/packages/node-link/src/messages/peer_message.ts
+++ b/packages/node-link/src/messages/peer_message.ts
@@ -96,6 +96,8 @@
       /** Newest revisions that an entry has seen in the metadata store. */
       readonly type: 'seen';
       readonly revisions: Readonly<Record<string, number>>;
+      /** Era of the store that these revisions belong to; 0 if absent. */
+      readonly era?: number;
     }
   | {
       /** Link addresses of the entries known to the sender. */
--- a/packages/observability/src/explain/request_lines.ts
+++ b/packages/observability/src/explain/request_lines.ts
@@ -9,6 +9,7 @@
   'configuration not readable',
   'zones out',
   'store lost',
+  'store restored',
   'store reached',
   'entry lost',
   'settings reloaded',
--- a/playground/src/__tests__/check_invariants.test.ts
+++ b/playground/src/__tests__/check_invariants.test.ts
@@ -37,6 +37,16 @@
 const NO_VIOLATIONS: SoakObservations = {
   outcomes: [OUTCOME],
   executions: [EXECUTION],
+  arrivals: [],
+  noticeResponses: [],
+  gatewayByRequestId: new Map([
+    ['r1', 'g'],
+    ['r2', 'g'],
+    ['r3', 'g'],
+    ['r4', 'g'],
+    ['r5', 'other'],
+  ]),
+  gatewayDisruptions: [],
   drains: [],
   disruptions: [],
   stops: [],
@@ -98,6 +108,53 @@
   expect(violated({drains, executions, disruptions})).toEqual([]);
 });
 
+test('a gateway that was told that a server leaves sends nothing there', () => {
+  const notice = {
+    requestId: 'r1',
+    serverId: 'a',
+    at: 0,
+    isLeaving: true,
+    pauseMs: 0,
+  };
+  const violatedBy = (
+    requestId: string,
+    at: number,
+    restartedAt = Infinity,
+  ): readonly string[] =>
+    violated({
+      noticeResponses: [notice],
+      arrivals: [{requestId, serverId: 'a', at}],
+      gatewayDisruptions: [
+        {gateway: 'g', from: restartedAt, to: restartedAt + 1},
+      ],
+    });
+  expect(violatedBy('r2', 2_001)).toEqual(['sent-to-leaving']);
+  expect(violatedBy('r2', 1_999)).toEqual([]);
+  expect(violatedBy('r5', 2_001)).toEqual([]);
+  expect(violatedBy('r2', 2_001, 1_000)).toEqual([]);
+});
+
+test('two requests of a gateway at most may slip through during a pause', () => {
+  const notice = {
+    requestId: 'r1',
+    serverId: 'a',
+    at: 0,
+    isLeaving: false,
+    pauseMs: 2_000,
+  };
+  const violatedBy = (count: number, at: number): readonly string[] =>
+    violated({
+      noticeResponses: [notice],
+      arrivals: ['r2', 'r3', 'r4']
+        .slice(0, count)
+        .map(requestId => ({requestId, serverId: 'a', at})),
+    });
+  expect(violatedBy(3, 600)).toEqual(['sent-during-pause']);
+  expect(violatedBy(2, 600)).toEqual([]);
+  expect(violatedBy(3, 400)).toEqual([]);
+  expect(violatedBy(3, 2_100)).toEqual([]);
+});
+
 test('exits, final requests and leaked reservations are checked', () => {
   const stop = {gateway: 'g', durationMs: 100, exitCode: 0};
   expect(violated({stops: [stop]})).toEqual([]);
--- a/playground/src/soak/check_invariants.ts
+++ b/playground/src/soak/check_invariants.ts
@@ -2,6 +2,7 @@
   CallerOutcome,
   RequestExecution,
 } from '@figfall/gateway-server/testing';
+import {checkServerNotices} from './check_server_notices.js';
 import type {SoakObservations} from './soak_observations.js';
 
 /** Returns one line for each violation of an invariant. */
@@ -157,6 +158,7 @@
   checkResponses,
   checkForwardedRequests,
   checkDrains,
+  checkServerNotices,
   checkStops,
   checkExits,
   checkFinalRequests,
--- a/playground/src/soak/plan_soak_actions.ts
+++ b/playground/src/soak/plan_soak_actions.ts
@@ -44,23 +44,35 @@
   ...SERVER_FAULTS.map(fault => ({type: 'server-fault' as const, fault})),
 ];
 
+/** Kinds drawn apart, so that seeds keep their actions of the first kinds. */
+const LATER_ACTION_KINDS: readonly ActionKind[] = [
+  {type: 'store-restore'},
+  {type: 'server-leave'},
+  {type: 'server-leave'},
+  {type: 'server-pause'},
+  {type: 'server-pause'},
+];
+
+/** Added to the seed for the kinds drawn apart. */
+const LATER_SEED_OFFSET = 1_000_003;
+
 const MEAN_INTERVAL_MS = 450;
+const LATER_MEAN_INTERVAL_MS = 1_200;
 const MIN_DURATION_MS = 300;
 const MAX_DURATION_MS = 3_000;
 
-/**
- * Draws the actions of a soak run in order of their start; they may overlap.
- * A seed always gives the same actions for the same options.
- */
-export function planSoakActions(options: PlanOptions): readonly SoakAction[] {
-  const {seed, durationMs, gateways, servers} = options;
+interface DrawOptions extends PlanOptions {
+  readonly kinds: readonly ActionKind[];
+  readonly meanIntervalMs: number;
+}
+
+function drawActions(options: DrawOptions): readonly SoakAction[] {
+  const {seed, durationMs, gateways, servers, kinds, meanIntervalMs} = options;
   const random = createRandom(seed);
   const randomBelow = (limit: number) => Math.floor(random() * limit);
-  const count = Math.round(durationMs / MEAN_INTERVAL_MS);
+  const count = Math.round(durationMs / meanIntervalMs);
   return Array.from({length: count}, () => {
-    const kind = ACTION_KINDS[randomBelow(ACTION_KINDS.length)] ?? {
-      type: 'gateway-reload',
-    };
+    const kind = kinds[randomBelow(kinds.length)] ?? {type: 'gateway-reload'};
     const isServerAction = kind.type.startsWith('server');
     return {
       ...kind,
@@ -69,5 +81,24 @@
       durationMs:
         MIN_DURATION_MS + randomBelow(MAX_DURATION_MS - MIN_DURATION_MS),
     } as SoakAction;
-  }).toSorted((a, b) => a.startMs - b.startMs);
+  });
+}
+
+/**
+ * Draws the actions of a soak run in order of their start; they may overlap.
+ * A seed always gives the same actions for the same options.
+ */
+export function planSoakActions(options: PlanOptions): readonly SoakAction[] {
+  const first = drawActions({
+    ...options,
+    kinds: ACTION_KINDS,
+    meanIntervalMs: MEAN_INTERVAL_MS,
+  });
+  const later = drawActions({
+    ...options,
+    seed: options.seed + LATER_SEED_OFFSET,
+    kinds: LATER_ACTION_KINDS,
+    meanIntervalMs: LATER_MEAN_INTERVAL_MS,
+  });
+  return [...first, ...later].toSorted((a, b) => a.startMs - b.startMs);
 }
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -208,6 +208,10 @@
   const violations = checkInvariants({
     outcomes: callers.outcomes,
     executions: deployment.executions,
+    arrivals: deployment.arrivals,
+    noticeResponses: deployment.noticeResponses,
+    gatewayByRequestId: callers.gatewayByRequestId,
+    gatewayDisruptions: injector.gatewayDisruptions,
     drains: injector.drains,
     disruptions: injector.disruptions,
     stops,
--- a/playground/src/soak/soak_callers.ts
+++ b/playground/src/soak/soak_callers.ts
@@ -8,7 +8,7 @@
   readonly seed: number;
   /** Number of concurrent callers. */
   readonly count: number;
-  readonly gateways: readonly {readonly host: string}[];
+  readonly gateways: readonly {readonly name: string; readonly host: string}[];
   readonly port: number;
 }
 
@@ -43,6 +43,7 @@
  */
 export class SoakCallers {
   readonly outcomes: CallerOutcome[] = [];
+  readonly gatewayByRequestId = new Map<string, string>();
   private readonly random: () => number;
   private isStopped = false;
   private sentCount = 0;
@@ -104,6 +105,7 @@
     }
     this.sentCount += 1;
     const requestId = `r${this.options.seed}-${this.sentCount}`;
+    this.gatewayByRequestId.set(requestId, gateway.name);
     const outcome = await sendCallerRequest({
       requestId,
       kind,
--- a/playground/src/soak/soak_fault_injector.ts
+++ b/playground/src/soak/soak_fault_injector.ts
@@ -23,11 +23,17 @@
 /** Time after a crash until the store drops the entry of the server. */
 const SERVER_ENTRY_TTL_MS = 2_000;
 
+/** Time in which a gateway that was stopped or killed is up again. */
+const RESTART_MS = 1_000;
+
 /** Applies actions to a deployment and records what the checks need of them. */
 export class SoakFaultInjector {
   readonly drains: MutableList<SoakObservations['drains'][number]> = [];
   readonly disruptions: MutableList<SoakObservations['disruptions'][number]> =
     [];
+  readonly gatewayDisruptions: MutableList<
+    SoakObservations['gatewayDisruptions'][number]
+  > = [];
   readonly stops: MutableList<SoakObservations['stops'][number]> = [];
   private readonly stopping = new Set<Gateway>();
   private readonly timers = new Set<NodeJS.Timeout>();
@@ -98,6 +104,12 @@
     this.schedule(durationMs, clearFault);
   }
 
+  /** Records that a gateway is paused or restarts about now. */
+  private disruptGateway({name}: Gateway, durationMs: number): void {
+    const from = this.options.now();
+    this.gatewayDisruptions.push({gateway: name, from, to: from + durationMs});
+  }
+
   private async stopGateway(gateway: Gateway): Promise<void> {
     if (this.stopping.has(gateway) || !gateway.process.isRunning()) return;
     this.stopping.add(gateway);
@@ -105,6 +117,7 @@
     gateway.process.signal('SIGCONT');
     const exitCode = await gateway.process.stop();
     const durationMs = this.options.now() - from;
+    this.disruptGateway(gateway, RESTART_MS);
     const isStillStopping = this.stopping.delete(gateway);
     if (isStillStopping) {
       this.stops.push({gateway: gateway.name, durationMs, exitCode});
@@ -125,12 +138,14 @@
     'gateway-kill': action => {
       const gateway = this.targetGateway(action);
       this.stopping.delete(gateway);
+      this.disruptGateway(gateway, RESTART_MS);
       void gateway.process.kill();
     },
     'gateway-stop': action => void this.stopGateway(this.targetGateway(action)),
     'gateway-pause': action => {
       const gateway = this.targetGateway(action);
       if (this.stopping.has(gateway)) return;
+      this.disruptGateway(gateway, action.durationMs);
       this.disrupt(
         action.durationMs,
         () => gateway.process.signal('SIGSTOP'),
@@ -150,6 +165,15 @@
       );
     },
     'store-compact': () => this.options.deployment.store.compact(),
+    'store-restore': ({durationMs}) => {
+      const {store} = this.options.deployment;
+      const options = {ageMs: durationMs, rewriteAfterMs: durationMs / 2};
+      this.disrupt(
+        durationMs,
+        () => store.restore(options),
+        () => undefined,
+      );
+    },
     'store-disconnect': action => {
       const {storeRelay} = this.targetGateway(action);
       this.disrupt(
@@ -188,6 +212,9 @@
         this.drains.push({serverId, startedAt: this.options.now()});
       }
     },
+    'server-leave': action => this.targetServer(action).leave(),
+    'server-pause': action =>
+      this.targetServer(action).backend.pauseFor(action.durationMs),
     'server-reset-connections': action =>
       this.targetServer(action).relay.resetConnections(),
     'server-hang-connections': action =>
--- a/playground/src/soak/soak_observations.ts
+++ b/playground/src/soak/soak_observations.ts
@@ -1,5 +1,7 @@
 import type {
+  BackendArrival,
   CallerOutcome,
+  NoticeResponse,
   RequestExecution,
 } from '@figfall/gateway-server/testing';
 
@@ -13,6 +15,15 @@
 export interface SoakObservations {
   readonly outcomes: readonly CallerOutcome[];
   readonly executions: readonly RequestExecution[];
+  /** Requests that reached backend servers, also those turned away. */
+  readonly arrivals: readonly BackendArrival[];
+  /** Responses in which backend servers said something of themselves. */
+  readonly noticeResponses: readonly NoticeResponse[];
+  readonly gatewayByRequestId: ReadonlyMap<string, string>;
+  /** Spans in which a gateway was paused or down. */
+  readonly gatewayDisruptions: readonly (TimeSpan & {
+    readonly gateway: string;
+  })[];
   /** Backend servers that drained, and when the store listed them as draining. */
   readonly drains: readonly {
     readonly serverId: string;
--- a/playground/src/soak/soak_server.ts
+++ b/playground/src/soak/soak_server.ts
@@ -2,7 +2,11 @@
   FakeBackendServer,
   fakeStoreObjects,
 } from '@figfall/gateway-server/testing';
-import type {RequestExecution} from '@figfall/gateway-server/testing';
+import type {
+  BackendArrival,
+  NoticeResponse,
+  RequestExecution,
+} from '@figfall/gateway-server/testing';
 import {startRelay} from '../network/start_relay.js';
 
 interface SoakServerOptions {
@@ -12,6 +16,8 @@
   /** Returns monotonic time in milliseconds. */
   readonly now: () => number;
   readonly onExecution: (execution: RequestExecution) => void;
+  readonly onArrival: (arrival: BackendArrival) => void;
+  readonly onNotice: (notice: NoticeResponse) => void;
   /** Writes the store's entry of a server. */
   readonly putEntry: (serverId: string, entry: object) => void;
   /** Removes the store's entry of a server. */
@@ -46,6 +52,8 @@
       kvCacheTokens: 100_000,
       now: options.now,
       onExecution: options.onExecution,
+      onArrival: options.onArrival,
+      onNotice: options.onNotice,
     });
   }
 
@@ -84,16 +92,27 @@
    * undefined if it is down or draining already.
    */
   drain(): string | undefined {
-    if (!this.fakeServer.isUp() || this.isDraining) return undefined;
+    if (!this.endLater()) return undefined;
+    this.publishEntry(true);
+    return this.fakeServer.serverId;
+  }
+
+  /** Ends the server later, and says so only in its responses. */
+  leave(): void {
+    if (this.endLater()) this.fakeServer.startLeaving();
+  }
+
+  /** Ends the server after its drain; false if it is down or draining. */
+  private endLater(): boolean {
+    if (!this.fakeServer.isUp() || this.isDraining) return false;
     this.isDraining = true;
     const {serverId} = this.fakeServer;
-    this.publishEntry(true);
     setTimeout(() => {
       const isSameDrain =
         this.isDraining && this.fakeServer.serverId === serverId;
       if (isSameDrain) void this.crash();
     }, DRAIN_MS);
-    return serverId;
+    return true;
   }
 
   /** Ends the server and its relay. */
--- a/playground/src/soak/start_soak_deployment.ts
+++ b/playground/src/soak/start_soak_deployment.ts
@@ -6,7 +6,11 @@
   buildSettingsFile,
   startFakeStore,
 } from '@figfall/gateway-server/testing';
-import type {RequestExecution} from '@figfall/gateway-server/testing';
+import type {
+  BackendArrival,
+  NoticeResponse,
+  RequestExecution,
+} from '@figfall/gateway-server/testing';
 import {startRelay} from '../network/start_relay.js';
 import {GatewayProcess} from './gateway_process.js';
 import {SOAK_PORTS} from './soak_ports.js';
@@ -42,6 +46,8 @@
   readonly gateways: readonly SoakGateway[];
   readonly servers: readonly SoakServer[];
   readonly executions: readonly RequestExecution[];
+  readonly arrivals: readonly BackendArrival[];
+  readonly noticeResponses: readonly NoticeResponse[];
   /** Reasons of processes that exited without being asked to. */
   readonly unexpectedExits: readonly string[];
   /** Writes a new version of the configuration to the store and returns it. */
@@ -78,6 +84,8 @@
   const folder = mkdtempSync(join(tmpdir(), 'figfall-soak-'));
   const store = await startFakeStore();
   const executions: RequestExecution[] = [];
+  const arrivals: BackendArrival[] = [];
+  const noticeResponses: NoticeResponse[] = [];
   const unexpectedExits: string[] = [];
   let config = INITIAL_CONFIG;
   const updateConfig = (change: Partial<ConfigState>): ConfigState => {
@@ -98,6 +106,8 @@
         zone: zoneOf(i),
         now,
         onExecution: execution => executions.push(execution),
+        onArrival: arrival => arrivals.push(arrival),
+        onNotice: notice => noticeResponses.push(notice),
         putEntry: (serverId, entry) => store.put('servers', serverId, entry),
         removeEntry: serverId => store.remove('servers', serverId),
       }),
@@ -140,6 +150,8 @@
     gateways,
     servers,
     executions,
+    arrivals,
+    noticeResponses,
     unexpectedExits,
     updateConfig,
     currentConfig: () => config,
