fix(serving): drop a missing server before the drain bound

Change: missing servers are kept for 300 ms less than drainMs at most, counted from the moment at which they were first missed. The setting is read from the bounds. The test failed before.

--- a/packages/decisions/src/serving/__tests__/known_servers.test.ts
+++ b/packages/decisions/src/serving/__tests__/known_servers.test.ts
@@ -80,3 +80,17 @@
   expect(ids(knownServers.applyListing(next, later, 10_000))).toEqual(['i-0']);
   expect(ids(knownServers.removeExpired(next, 14_000))).toEqual(['i-0', 'i-1']);
 });
+
+test('a missing server is dropped before requests to it break the drain bound', () => {
+  const full = knownServers.applyListing(
+    knownServers.empty(),
+    {servers: [a, b], restoredAt: 0},
+    0,
+  );
+  const back = {servers: [a], restoredAt: 9_000, drainMs: 2_000};
+  const next = knownServers.applyListing(full, back, 9_000);
+  expect(ids(knownServers.removeExpired(next, 10_699))).toEqual(['i-0', 'i-1']);
+  expect(ids(knownServers.removeExpired(next, 10_700))).toEqual(['i-0']);
+  const again = knownServers.applyListing(next, back, 10_000);
+  expect(ids(knownServers.removeExpired(again, 10_700))).toEqual(['i-0']);
+});
--- a/packages/decisions/src/serving/known_servers.ts
+++ b/packages/decisions/src/serving/known_servers.ts
@@ -6,6 +6,12 @@
  */
 const REREGISTRATION_MS = 2_100;
 
+/**
+ * Time in milliseconds by which a missing server is dropped before the bound on
+ * requests to servers that are gone.
+ */
+const DRAIN_MARGIN_MS = 300;
+
 /**
  * Time in milliseconds for which a server is not used that was gone before the
  * store came back from an older copy. If it is alive, it registers again and
@@ -20,8 +26,8 @@
   readonly unlisted: readonly BackendServer[];
   /** Ids of listed servers that had been gone before, and until when. */
   readonly doubtfulUntil: ReadonlyMap<string, number>;
-  /** Time in milliseconds at which the store was last reachable again. */
-  readonly restoredAt: number;
+  /** Time in milliseconds until which unlisted servers are kept. */
+  readonly keptUntil: number;
 }
 
 /** All servers in service discovery. */
@@ -34,6 +40,12 @@
    * @default false
    */
   readonly isRestored?: boolean;
+  /**
+   * Time in milliseconds after which a server that is gone must not get
+   * requests any more.
+   * @default Infinity
+   */
+  readonly drainMs?: number;
 }
 
 /** Tracks the listed servers, also through outages of the store. */
@@ -43,7 +55,7 @@
       listed: [],
       unlisted: [],
       doubtfulUntil: new Map(),
-      restoredAt: 0,
+      keptUntil: 0,
     };
   },
 
@@ -57,6 +69,7 @@
     now: number,
   ): KnownServers {
     const {servers, restoredAt, isRestored = false} = listing;
+    const {drainMs = Infinity} = listing;
     const ids = new Set(servers.map(({id}) => id));
     const addresses = new Set(servers.map(({host, port}) => `${host}:${port}`));
     const before = knownServers.all(known);
@@ -65,7 +78,11 @@
       .filter(
         ({id, host, port}) => !ids.has(id) && !addresses.has(`${host}:${port}`),
       );
-    const isSettled = now - restoredAt >= REREGISTRATION_MS;
+    const keptUntil = Math.min(
+      known.unlisted.length > 0 ? known.keptUntil : Infinity,
+      restoredAt + REREGISTRATION_MS,
+      now + drainMs - DRAIN_MARGIN_MS,
+    );
     const isFirst = known.listed.length === 0;
     const beforeIds = new Set(before.map(({id}) => id));
     const returned =
@@ -73,9 +90,9 @@
     const doubtful = returned.map(id => [id, now + DOUBTFUL_MS] as const);
     return {
       listed: servers,
-      unlisted: isSettled ? [] : missing,
+      unlisted: keptUntil > now ? missing : [],
       doubtfulUntil: new Map([...known.doubtfulUntil, ...doubtful]),
-      restoredAt,
+      keptUntil,
     };
   },
 
@@ -84,8 +101,7 @@
    * doubts about listed ones. Returns `known` if there is nothing to remove.
    */
   removeExpired(known: KnownServers, now: number): KnownServers {
-    const isDue = now - known.restoredAt >= REREGISTRATION_MS;
-    const unlisted = isDue ? [] : known.unlisted;
+    const unlisted = now >= known.keptUntil ? [] : known.unlisted;
     const doubtful = [...known.doubtfulUntil].filter(
       ([, until]) => until > now,
     );
