fix(gateway): give memory on other servers free before its bound

The gateway waited 5.4 s of silence, 45 % of the caller's patience, and renewed the memory that it had reserved on another server until then: 4,517 ms after the request was over, the bound is 4,000.

Change: an attempt that holds memory elsewhere is abandoned after 3.5 s of silence, or twice the predicted time if that is longer. What stays open: twice the prediction over 4 s, and the last attempt allowed, which is not abandoned.

--- a/packages/gateway/src/calls/create_call_options.ts
+++ b/packages/gateway/src/calls/create_call_options.ts
@@ -10,7 +10,7 @@
     deadlineAt: spec.deadlineAt,
     maxOffers: GATEWAY.SERVERS_TRIED_MAX,
     maxAttempts: Math.max(1, spec.route.maxAttempts),
-    progressTimeoutMs: silenceTimeoutMs(spec, 0),
+    progressTimeoutMs: silenceTimeoutMs(spec),
     reconnectTimeoutMs: 0,
     routeTimeoutMs: Infinity,
     crashes: 0,
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -86,7 +86,7 @@
     this.attempts += 1;
     this.options = {
       ...this.options,
-      progressTimeoutMs: silenceTimeoutMs(spec, placement.firstEventMs),
+      progressTimeoutMs: silenceTimeoutMs(spec, placement),
     };
     observer.onPlaced(spec, placement, this.attempts);
     this.step({
