fix(serving): tell a newly linked gateway of the prompts that wait

Cause: a gateway sends a new link all its running work, but not its waiting prompts, so a gateway that has just started may place a later prompt before an earlier one of a better rank. Change: both are sent. The test failed before.

--- a/packages/decisions/src/serving/__tests__/fleet_load.test.ts
+++ b/packages/decisions/src/serving/__tests__/fleet_load.test.ts
@@ -77,3 +77,13 @@
   const prefilled = fleetLoad.markPrefilled(load, '1');
   expect(fleetLoad.serverLoad(prefilled, 'a', 5_000).prefilling).toEqual(0);
 });
+
+test('a newly linked gateway is told of prompts that wait', () => {
+  const mine = {owner: 'me', rank: 5};
+  const own = fleetLoad.addWaiting(fleetLoad.empty(), 'r1', mine, 0);
+  const other = {owner: 'other', rank: 3};
+  const load = fleetLoad.addWaiting(own, 'r2', other, 0);
+  expect(fleetLoad.changesOfOwner(load, 'me')).toEqual([
+    {type: 'wait', workId: 'r1', rank: 5},
+  ]);
+});
--- a/packages/decisions/src/serving/fleet_load.ts
+++ b/packages/decisions/src/serving/fleet_load.ts
@@ -174,16 +174,23 @@
     );
   },
 
-  /** Changes that reproduce the running work of the gateway `owner`. */
+  /**
+   * Changes that reproduce the running work and the queued prompts of the
+   * gateway `owner`.
+   */
   changesOfOwner(load: FleetLoadState, owner: string): readonly WorkChange[] {
-    return [...HashMap.values(load.byServer)]
+    const waiting = [...load.waiting]
+      .filter(([, prompt]) => prompt.owner === owner)
+      .map(([workId, {rank}]): WorkChange => ({type: 'wait', workId, rank}));
+    const running = [...HashMap.values(load.byServer)]
       .flatMap(byId => [...byId.values()])
       .filter(work => work.owner === owner)
       .flatMap(({owner: _owner, startedAt: _startedAt, prefilled, ...work}) => {
         const start: WorkChange = {type: 'start', work};
-        const {workId} = work;
-        return prefilled ? [start, {type: 'prefilled', workId}] : [start];
+        const prefill: WorkChange = {type: 'prefilled', workId: work.workId};
+        return prefilled ? [start, prefill] : [start];
       });
+    return [...running, ...waiting];
   },
 
   /** Number of servers with running work. */
