--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -77,10 +77,10 @@
 
   /** Sends changes of the store to all linked gateways, if this is a relay. */
   announceChanges(
-    changes: Extract<PeerMessage, {readonly type: 'store-changes'}>,
+    message: Extract<PeerMessage, {readonly type: 'store-changes'}>,
   ): void {
     if (!storeRelays.sendsChanges(this.rank())) return;
-    this.links.forEach(link => link.send(WORK_STREAM, changes));
+    this.links.forEach(link => link.send(WORK_STREAM, message));
   }
 
   /** Notes the newest store revision of a kind; a relay sends it on. */
--- a/packages/observability/src/explain/request_lines.ts
+++ b/packages/observability/src/explain/request_lines.ts
@@ -10,6 +10,7 @@
   'zones out',
   'store lost',
   'store restored',
+  'store relays',
   'store reached',
   'entry lost',
   'settings reloaded',
