--- a/packages/decisions/src/serving/eligible_servers.ts
+++ b/packages/decisions/src/serving/eligible_servers.ts
@@ -16,7 +16,7 @@
   readonly health: ReadonlyMap<string, ServerHealth>;
   /** Availability zones from which operators have withdrawn traffic. */
   readonly evacuatedZones: ReadonlySet<string>;
-  /** What servers have said of themselves; these wishes bind always. */
+  /** Servers that leave or pause; these are left out without exception. */
   readonly notices: ReturnType<typeof serverNotices.empty>;
 }
 
--- a/packages/decisions/src/serving/known_servers.ts
+++ b/packages/decisions/src/serving/known_servers.ts
@@ -68,8 +68,12 @@
     listing: Listing,
     now: number,
   ): KnownServers {
-    const {servers, restoredAt, isRestored = false} = listing;
-    const {drainMs = Infinity} = listing;
+    const {
+      servers,
+      restoredAt,
+      isRestored = false,
+      drainMs = Infinity,
+    } = listing;
     const ids = new Set(servers.map(({id}) => id));
     const addresses = new Set(servers.map(({host, port}) => `${host}:${port}`));
     const before = knownServers.all(known);
--- a/packages/decisions/src/serving/store_relays.ts
+++ b/packages/decisions/src/serving/store_relays.ts
@@ -1,3 +1,5 @@
+import {mapWith} from '../shared/map_with.js';
+
 /** Time in milliseconds after which a gateway's last report does not count. */
 const REPORT_TTL_MS = 2_500;
 
@@ -16,6 +18,13 @@
 /** Newest report of each relay, by the id of its gateway. */
 type StoreRelays = ReadonlyMap<string, RelayReport>;
 
+/** The reports that are recent enough to count. */
+function currentReports(relays: StoreRelays, now: number): StoreRelays {
+  return new Map(
+    [...relays].filter(([, {receivedAt}]) => now - receivedAt < REPORT_TTL_MS),
+  );
+}
+
 /**
  * Decides which gateways watch the store, and whether another one may rely on
  * them. A store that every gateway watches is called by all of them at each
@@ -43,10 +52,8 @@
     isStoreReachable: boolean,
     now: number,
   ): StoreRelays {
-    const valid = [...relays].filter(
-      ([, {receivedAt}]) => now - receivedAt < REPORT_TTL_MS,
-    );
-    return new Map(valid).set(gatewayId, {isStoreReachable, receivedAt: now});
+    const report = {isStoreReachable, receivedAt: now};
+    return mapWith(currentReports(relays, now), gatewayId, report);
   },
 
   /**
@@ -60,11 +67,9 @@
     now: number,
   ): 'none' | 'reachable' | 'unreachable' {
     if (storeRelays.isRelay(rank)) return 'none';
-    const valid = [...relays.values()].filter(
-      ({receivedAt}) => now - receivedAt < REPORT_TTL_MS,
-    );
-    if (valid.length === 0) return 'none';
-    return valid.some(({isStoreReachable}) => isStoreReachable)
+    const reports = [...currentReports(relays, now).values()];
+    if (reports.length === 0) return 'none';
+    return reports.some(({isStoreReachable}) => isStoreReachable)
       ? 'reachable'
       : 'unreachable';
   },
--- a/playground/src/soak/check_invariants.ts
+++ b/playground/src/soak/check_invariants.ts
@@ -3,6 +3,7 @@
   RequestExecution,
 } from '@figfall/gateway-server/testing';
 import {checkServerNotices} from './check_server_notices.js';
+import {DRAIN_LIMIT_MS} from './drain_limit_ms.js';
 import type {SoakObservations} from './soak_observations.js';
 
 /** Returns one line for each violation of an invariant. */
@@ -16,9 +17,6 @@
   408, 421, 429, 503,
 ];
 
-/** Time after the start of draining from which a server gets no requests. */
-const DRAIN_LIMIT_MS = 2_000;
-
 /** Time after a disruption before the drain limit applies again. */
 const RECOVERY_MS = 3_000;
 
--- a/playground/src/soak/check_server_notices.ts
+++ b/playground/src/soak/check_server_notices.ts
@@ -1,9 +1,7 @@
 import type {NoticeResponse} from '@figfall/gateway-server/testing';
+import {DRAIN_LIMIT_MS} from './drain_limit_ms.js';
 import type {SoakObservations} from './soak_observations.js';
 
-/** Time after a leaving notice from which a gateway must not send anything. */
-const DRAIN_LIMIT_MS = 2_000;
-
 /** Time after a request for a pause from which the pause binds. */
 const PAUSE_GRACE_MS = 500;
 
