fix(store): a watch ends within the contact timeout

Cause: a watch waited 3,000 ms plus 1,500 ms of grace, 16.5 s on a gateway without relays, though a gateway has to be up to date contactTimeoutMs (3,000 ms on these sites) after a fault. A watch whose connection went dead in a short outage, or goes silent by itself, outlasts that.

Change: the wait follows from contactTimeoutMs of the settings, less 1,000 ms of grace and 400 ms for the first retry; pure in storeWatchWaitMs. The 15 s wait is gone: a gateway that watches by itself has nobody to tell it of changes.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -121,6 +121,7 @@
 export * from './serving/known_servers.js';
 export * from './serving/server_notice.js';
 export * from './serving/store_relays.js';
+export * from './serving/store_watch_wait_ms.js';
 export * from './serving/server_notices.js';
 export * from './serving/prompt_worth.js';
 export * from './serving/partition_servers.js';
