feat(gateway): log the shared parts of a failed attempt's prompt

Server after server ended under requests that share only a part of their prompts, and the logs could not tell which part, nor which of the attempts that a server took with it had events.

Change: 'attempt ended' has hadEvents and sharedParts. No decision has changed; the tests of packages/gateway and of the caller server pass.

--- a/packages/gateway/src/calls/attempt_work.ts
+++ b/packages/gateway/src/calls/attempt_work.ts
@@ -74,6 +74,11 @@
     return true;
   }
 
+  /** True once the prompt is known to be prefilled. */
+  hasPrefilled(): boolean {
+    return this.isPrefilled;
+  }
+
   endAll(): void {
     [...this.ids].forEach(workId => this.end(workId));
   }
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -67,6 +67,11 @@
     return this.work.markPrefilled(this.reservations !== undefined);
   }
 
+  /** True if the attempt has delivered events of a stream. */
+  hasEvents(): boolean {
+    return this.work.hasPrefilled();
+  }
+
   pause(): void {
     this.exchange?.pause();
   }
--- a/packages/gateway/src/calls/call_observer.ts
+++ b/packages/gateway/src/calls/call_observer.ts
@@ -12,10 +12,13 @@
     attempt: number,
   ) => void;
   /** Called when an attempt ends without a complete response. */
-  readonly onAttemptEnded: (
-    spec: CallSpec,
-    serverId: string,
-    result: string,
-    reason: string,
-  ) => void;
+  readonly onAttemptEnded: (spec: CallSpec, attempt: AttemptEnd) => void;
+}
+
+interface AttemptEnd {
+  readonly serverId: string;
+  readonly result: string;
+  readonly reason: string;
+  /** True if the attempt had delivered events of a stream. */
+  readonly hadEvents: boolean;
 }
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -11,18 +11,13 @@
 import type {BackendEvent} from '../ports/backend_event.js';
 import type {ResponseHead} from '../ports/response_head.js';
 import {BackendAttempt} from './backend_attempt.js';
+import type {BackendEventHandlers} from './backend_event_handlers.js';
 import {CallResponse} from './call_response.js';
 import {createCallOptions} from './create_call_options.js';
 import type {GatewayCallContext} from './gateway_call_context.js';
+import {handleBackendEvent} from './handle_backend_event.js';
 import {silenceTimeoutMs} from './silence_timeout_ms.js';
 
-type BackendEventHandlers = {
-  readonly [Type in BackendEvent['type']]: (
-    event: Extract<BackendEvent, {readonly type: Type}>,
-    attemptId: string,
-  ) => void;
-};
-
 /** Runs the state machine of one caller's request and its commands. */
 export class GatewayCall {
   private readonly response: CallResponse;
@@ -126,11 +121,7 @@
 
   private onBackendEvent(event: BackendEvent, attemptId: string): void {
     if (attemptId !== this.state.attemptId) return;
-    const handler = this.backendEventHandlers[event.type] as (
-      event: BackendEvent,
-      attemptId: string,
-    ) => void;
-    handler(event, attemptId);
+    handleBackendEvent(this.backendEventHandlers, event, attemptId);
   }
 
   private readonly backendEventHandlers: BackendEventHandlers = {
@@ -197,8 +188,10 @@
   }
 
   private reportAttemptEnd(result: string, reason: string): void {
-    const {agentId = ''} = this.state;
-    this.ctx.observer.onAttemptEnded(this.ctx.spec, agentId, result, reason);
+    const {spec, observer} = this.ctx;
+    const {agentId: serverId = ''} = this.state;
+    const hadEvents = this.attempt?.hasEvents() ?? false;
+    observer.onAttemptEnded(spec, {serverId, result, reason, hadEvents});
   }
 
   private endAttempt(): void {
--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -61,12 +61,11 @@
           configVersion: configVersion(),
         });
       },
-      onAttemptEnded: ({req}, serverId, result, reason) =>
+      onAttemptEnded: ({req}, attempt) =>
         logger.info('attempt ended', {
           requestId: req.requestId,
-          serverId,
-          result,
-          reason,
+          ...attempt,
+          sharedParts: req.prompt?.sharedParts.join(' '),
         }),
     },
     onRejected: (requestId, {kind, message}) => {
--- a/packages/gateway/src/ports/caller_request.ts
+++ b/packages/gateway/src/ports/caller_request.ts
@@ -21,6 +21,8 @@
   readonly prompt?: {
     readonly promptTokens: number;
     readonly outputTokens: number;
+    /** Ids of the parts of the prompt that other prompts may share. */
+    readonly sharedParts: readonly string[];
   };
   /** Id of the last event that the caller has, if it resumes a stream. */
   readonly lastEventId?: number;
--- a/playground/src/simulation/run_simulation.ts
+++ b/playground/src/simulation/run_simulation.ts
@@ -190,7 +190,7 @@
     body: Buffer.alloc(0),
     timeoutMs: request.timeoutMs,
     arrivedAt: clock.now(),
-    prompt: request,
+    prompt: {...request, sharedParts: []},
   };
   core.serve(req, caller.sink);
   return caller;
