fix(gateway): refuse prompts with a part that crashes servers

Sound prompts on the same servers were cut off, and some were refused with 422.

Cause: suspects were known by workspace, method, path and body. No two of these requests are alike, so none was suspected often enough. Class of fault: evidence is gathered for a whole request where only a part of it is to blame.

Change: suspectParts (pure) keeps the servers that were lost under each shared part of a prompt and blocks a part that stands out: three losses one after the other, no other part present each time, no answer with it. Attempts that had events do not count. Gateways announce losses, answers, trials and blocked parts, and a gateway that is linked later gets the blocked ones. At most 1,024 parts with 16 servers each, forgotten after 60 s (blocked: 1 h); one trial after 60 s, then after twice the time. Gauge figfall_blocked_prompt_parts, log lines 'prompt part blocked' and 'prompt part released'.

--- a/packages/decisions/src/serving/work_change.ts
+++ b/packages/decisions/src/serving/work_change.ts
@@ -1,3 +1,4 @@
+import type {SuspectChange} from './suspect_change.js';
 import type {WorkItem} from './work_item.js';
 
 /** A change of a gateway's work, which it broadcasts to the other gateways. */
@@ -24,17 +25,4 @@
       /** Start of the process that leaves, in Unix milliseconds. */
       readonly processStartedAt?: number;
     }
-  | {
-      /** A backend server closed the connection while it ran a request. */
-      readonly type: 'broke';
-      /** Hash that identifies the request's content. */
-      readonly fingerprint: string;
-      readonly serverId: string;
-      /** Time in milliseconds from sending the request to the disconnect. */
-      readonly heldMs: number;
-    }
-  | {
-      /** A request that ended in a disconnect before was answered. */
-      readonly type: 'answered';
-      readonly fingerprint: string;
-    };
+  | SuspectChange;
--- a/packages/gateway/src/__tests__/crashing_part.test.ts
+++ b/packages/gateway/src/__tests__/crashing_part.test.ts
@@ -23,8 +23,17 @@
   });
 }
 
+/** Sends another gateway what this one has announced since. */
+function forward({announced, clock}: Fixture, peer: Fixture): void {
+  peer.clock.now = clock.now;
+  announced
+    .splice(0)
+    .forEach(change => peer.fleet.applyRemoteChange(change, 'peer'));
+}
+
 /** Crashes the servers of all attempts at a request, one after the other. */
-function crash({attempts, clock}: Fixture, id: string): number {
+function crash(fixture: Fixture, id: string, peer?: Fixture): number {
+  const {attempts, clock} = fixture;
   const isOpen = ({req, cancelled}: Fixture['attempts'][number]) =>
     req.requestId === id && !cancelled;
   const open = () => attempts.filter(isOpen).at(-1);
@@ -35,6 +44,7 @@
     attempt.emit({type: 'head', head: HEAD});
     attempt.emit({type: 'failed', reason: 'The response was cut off.'});
     attempt.cancelled = true;
+    if (peer) forward(fixture, peer);
     crashes += 1;
   }
   return crashes;
@@ -70,3 +80,75 @@
   expect(lateCrashes).toBeLessThanOrEqual(3);
   expect(soundResults.filter(Boolean)).toEqual([]);
 });
+
+/** A gateway at which a part is blocked after crashes of three servers. */
+function blockPart(peer?: Fixture): Fixture {
+  const fixture = gatewayFixture(SERVERS);
+  ['p1', 'p2'].forEach(id => {
+    fixture.clock.now += INTERVAL_MS;
+    send(fixture, id, ['rules', 'poison']);
+    crash(fixture, id, peer);
+    send(fixture, `sound-${id}`, ['rules']);
+    answer(fixture, `sound-${id}`);
+  });
+  return fixture;
+}
+
+test('gateways learn of a crashing part from each other', () => {
+  const other = gatewayFixture(SERVERS);
+  blockPart(other);
+  const {received} = send(other, 'r1', ['rules', 'poison']);
+  expect(received.failure?.kind).toEqual('suspect-request');
+  expect(received.failure?.ran).toEqual('no');
+  expect(other.attempts.length).toEqual(0);
+});
+
+test('a gateway that is linked later learns of a blocked part', () => {
+  const {fleet} = blockPart();
+  const other = gatewayFixture(SERVERS);
+  fleet
+    .changesForNewPeer()
+    .forEach(change => other.fleet.applyRemoteChange(change, 'peer'));
+  const {received} = send(other, 'r1', ['rules', 'poison']);
+  expect(received.failure?.kind).toEqual('suspect-request');
+});
+
+test('a blocked part gets one trial for all gateways', () => {
+  const other = gatewayFixture(SERVERS);
+  const fixture = blockPart(other);
+  fixture.clock.now += 60_000;
+  const trial = send(fixture, 'trial', ['poison']);
+  expect(trial.received.failure).toEqual(undefined);
+  forward(fixture, other);
+  const {received} = send(other, 'r1', ['poison']);
+  expect(received.failure?.kind).toEqual('suspect-request');
+});
+
+test('a part that was answered lately is above suspicion', () => {
+  const fixture = gatewayFixture(SERVERS);
+  send(fixture, 'sound', ['rules']);
+  answer(fixture, 'sound');
+  ['p1', 'p2', 'p3'].forEach(id => {
+    fixture.clock.now += INTERVAL_MS;
+    send(fixture, id, ['rules', `own-${id}`]);
+    crash(fixture, id);
+  });
+  const {received} = send(fixture, 'r1', ['rules']);
+  expect(received.failure).toEqual(undefined);
+});
+
+test('what a stream lost after its first events does not count', () => {
+  const fixture = gatewayFixture(SERVERS);
+  const ids = ['p1', 'p2', 'p3', 'p4'];
+  ids.forEach(id => {
+    fixture.clock.now += INTERVAL_MS;
+    send(fixture, id, ['subject']);
+    const attempt = fixture.attempts.findLast(({req}) => req.requestId === id);
+    attempt?.emit({type: 'sent'});
+    attempt?.emit({type: 'head', head: HEAD});
+    attempt?.emit({type: 'events', firstId: 0, texts: ['id: 0\n\n']});
+    attempt?.emit({type: 'failed', reason: 'The stream was cut off.'});
+  });
+  const {received} = send(fixture, 'r1', ['subject']);
+  expect(received.failure).toEqual(undefined);
+});
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -124,6 +124,7 @@
     now: () => clock.now,
     announce: change => announced.push(change),
     onAvoided: () => undefined,
+    onPartBlocked: () => undefined,
   });
   const core = new GatewayCore({
     fleet,
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -28,6 +28,9 @@
   unanswered: 'unreachable',
 } as const;
 
+/** Lowest status of a response that is no answer to the request. */
+const ERROR_STATUS = 500;
+
 type Exchange = ReturnType<BackendClient['send']>;
 
 function priorityOf({req}: CallSpec): number | undefined {
@@ -135,19 +138,26 @@
       },
       event => {
         if (this.hasEnded) return;
-        this.updateCrashSuspects(event);
+        this.updateSuspects(event);
         onEvent(event);
       },
     );
   }
 
   /** Tracks whether this request may be crashing backend servers. */
-  private updateCrashSuspects({type}: BackendEvent): void {
-    const {spec, server, fleet, now} = this.options;
-    const {crashSuspects} = fleet;
+  private updateSuspects(event: BackendEvent): void {
+    const {type} = event;
+    const {spec, server, now} = this.options;
+    const {suspects} = this.options.fleet;
+    const hadEvents = this.hasEvents();
     if (type === 'failed') {
-      crashSuspects.recordDisconnect(spec, server.id, now() - this.sentAt);
+      const heldMs = now() - this.sentAt;
+      suspects.recordLoss(spec, {server, heldMs, hadEvents});
     }
-    if (type === 'response' || type === 'end') crashSuspects.recordAnswer(spec);
+    const hasBegun =
+      (type === 'events' && !hadEvents) ||
+      (type === 'response' && event.head.status < ERROR_STATUS);
+    if (hasBegun) suspects.recordBegun(spec);
+    if (type === 'response' || type === 'end') suspects.recordAnswer(spec);
   }
 }
--- a/packages/gateway/src/core/add_fleet_gauges.ts
+++ b/packages/gateway/src/core/add_fleet_gauges.ts
@@ -34,6 +34,14 @@
       this.set(fleet.counts().waiting);
     },
   });
+  new Gauge({
+    name: 'figfall_blocked_prompt_parts',
+    help: 'Parts of prompts that are refused because servers crash under them.',
+    registers,
+    collect() {
+      this.set(fleet.counts().blockedParts);
+    },
+  });
   new Gauge({
     name: 'figfall_memory_bytes',
     help: 'Resident memory of the process.',
--- a/packages/gateway/src/core/crash_suspect_list.ts
+++ b/packages/gateway/src/core/crash_suspect_list.ts
@@ -1,12 +1,12 @@
 import {crashSuspects} from '@figfall/decisions';
-import type {WorkChange} from '@figfall/decisions';
+import type {SuspectChange} from '@figfall/decisions';
 import {computeFingerprint} from '@figfall/node-link';
 import type {CallSpec} from '../calls/call_spec.js';
 
 interface CrashSuspectListOptions {
   readonly now: () => number;
   /** Applies a change to this gateway's fleet and announces it to others. */
-  readonly applyAndAnnounce: (change: WorkChange) => void;
+  readonly applyAndAnnounce: (change: SuspectChange) => void;
 }
 
 function fingerprint({req, workspace = ''}: CallSpec): string {
@@ -53,7 +53,7 @@
   }
 
   /** Applies a change recorded by this gateway or by another one. */
-  apply(change: Extract<WorkChange, {readonly fingerprint: string}>): void {
+  apply(change: Extract<SuspectChange, {readonly fingerprint: string}>): void {
     const {suspects, options} = this;
     this.suspects =
       change.type === 'broke'
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -11,12 +11,12 @@
 import type {Result} from 'neverthrow';
 import type {CallSpec} from '../calls/call_spec.js';
 import {countServers} from './count_servers.js';
-import {CrashSuspectList} from './crash_suspect_list.js';
 import {describeRefusal} from './describe_refusal.js';
 import type {FleetView} from './fleet_view.js';
 import type {Placement} from './placement.js';
 import {planRequest} from './plan_request.js';
 import {ServerObservations} from './server_observations.js';
+import {Suspects} from './suspects.js';
 
 interface FleetOptions {
   /** Unique id of this gateway's process, as owner of its work. */
@@ -27,6 +27,8 @@
   readonly now: () => number;
   /** Called when a server will be avoided, for `ms` milliseconds or for good. */
   readonly onAvoided: (serverId: string, reason: string, ms?: number) => void;
+  /** Called when prompts with a part begin or cease to be refused. */
+  readonly onPartBlocked: (part: string, isBlocked: boolean) => void;
   /** Sends a change of this gateway's work to other gateways. */
   readonly announce: (change: WorkChange) => void;
 }
@@ -40,14 +42,13 @@
   private evacuatedZones: ReadonlySet<string> = new Set();
   private load = fleetLoad.empty();
   private readonly observations: ServerObservations;
-  /** Requests that may crash backend servers. */
-  readonly crashSuspects: CrashSuspectList;
+  /** Requests and prompts that may crash backend servers. */
+  readonly suspects: Suspects;
 
   constructor(private readonly options: FleetOptions) {
-    const {now} = options;
     this.observations = new ServerObservations(options);
-    this.crashSuspects = new CrashSuspectList({
-      now,
+    this.suspects = new Suspects({
+      ...options,
       applyAndAnnounce: change => this.applyAndAnnounce(change),
     });
   }
@@ -79,12 +80,8 @@
     spec: CallSpec,
     exclude: readonly string[],
   ): Result<Placement, Failure> {
-    const retryAfterMs = this.crashSuspects.refusedForMs(spec);
-    if (retryAfterMs > 0) {
-      const message =
-        'Several backend servers failed while running this request.';
-      return err(createFailure('suspect-request', message, {retryAfterMs}));
-    }
+    const refusal = this.suspects.refusal(spec);
+    if (refusal) return err(refusal);
     const candidates = this.candidates(spec, exclude);
     const {zone, random, now} = this.options;
     const {requestId} = spec.req;
@@ -106,7 +103,7 @@
     }
     if (!plan)
       return err(describeRefusal(this.view(), spec.service.name, now()));
-    this.crashSuspects.recordTrial(spec);
+    this.suspects.recordTrial(spec);
     return ok({...plan.placement, candidates: candidates.length});
   }
 
@@ -128,6 +125,7 @@
       ...countServers(this.view(), options.now()),
       waiting: load.waiting.size,
       working: fleetLoad.busyServers(load),
+      blockedParts: this.suspects.blockedPartCount(),
     };
   }
 
@@ -162,12 +160,13 @@
   }
 
   /**
-   * What a newly linked gateway should know: all work of this gateway, and the
-   * servers known to leave.
+   * What a newly linked gateway should know: all work of this gateway, the
+   * servers known to leave, and the blocked parts of prompts.
    */
   changesForNewPeer(): readonly WorkChange[] {
     const work = fleetLoad.changesOfOwner(this.load, this.options.owner);
-    return [...this.observations.leavingChanges(), ...work];
+    const leaving = this.observations.leavingChanges();
+    return [...leaving, ...this.suspects.changesForNewPeer(), ...work];
   }
 
   /** Applies a change that another gateway announced. */
@@ -188,10 +187,6 @@
       }
       case 'end':
         return fleetLoad.endWork(this.load, change.workId);
-      case 'broke':
-      case 'answered':
-        this.crashSuspects.apply(change);
-        return this.load;
       case 'unreachable':
         this.observations.recordOutcome(change.serverId, 'unreachable');
         return this.load;
@@ -200,6 +195,9 @@
         this.observations.recordLeaving({id, processStartedAt});
         return this.load;
       }
+      default:
+        this.suspects.apply(change);
+        return this.load;
     }
   }
 
@@ -212,7 +210,7 @@
   /** Removes expired work, and all work of a gateway that is gone. */
   prune(owner?: string): void {
     this.load = fleetLoad.removeStale(this.load, owner, this.options.now());
-    this.crashSuspects.removeExpired();
+    this.suspects.removeExpired();
     this.observations.removeExpired();
   }
 
