--- a/packages/http-client/src/__tests__/exchange.test.ts
+++ b/packages/http-client/src/__tests__/exchange.test.ts
@@ -1,3 +1,5 @@
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {test} from 'node:test';
 import {expect} from 'earl';
 import {exchange} from '../exchange.js';
@@ -12,3 +14,29 @@
   });
   expect(answer._unsafeUnwrapErr().type).toEqual('not-sent');
 });
+
+test('a body that never ends fails once it is too long', async () => {
+  const chunk = Buffer.alloc(16_384);
+  const server = createServer((_req, res) => {
+    const sendMore = () => {
+      while (res.write(chunk));
+    };
+    res.on('drain', sendMore);
+    sendMore();
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  const answer = await exchange({
+    method: 'GET',
+    baseUrl: `http://127.0.0.1:${port}`,
+    path: '/',
+    timeoutMs: 60_000,
+    maxBodyBytes: 100_000,
+  });
+  server.closeAllConnections();
+  server.close();
+  expect(answer._unsafeUnwrapErr()).toEqual({
+    type: 'lost',
+    message: 'The body is longer than 100000 bytes.',
+  });
+});
--- a/packages/http-client/src/exchange.ts
+++ b/packages/http-client/src/exchange.ts
@@ -13,7 +13,7 @@
   const opened = await openExchange(options);
   if (opened.isErr()) return err(opened.error);
   const res = opened.value;
-  const body = await readBody(res);
+  const body = await readBody(res, options.maxBodyBytes);
   return body.andThen(bytes =>
     ok({
       status: res.statusCode ?? 0,
--- a/packages/http-client/src/http_request.ts
+++ b/packages/http-client/src/http_request.ts
@@ -10,6 +10,11 @@
   readonly body?: string | Uint8Array;
   /** Milliseconds without data after which the exchange fails as `lost`. */
   readonly timeoutMs: number;
+  /**
+   * Bytes of a response body above which the exchange fails as `lost`.
+   * @default 33_554_432
+   */
+  readonly maxBodyBytes?: number;
   /** Aborts the exchange. */
   readonly signal?: AbortSignal;
   /**
--- a/packages/http-client/src/read_body.ts
+++ b/packages/http-client/src/read_body.ts
@@ -3,13 +3,28 @@
 import type {Result} from 'neverthrow';
 import type {HttpFailure} from './http_failure.js';
 
-/** Reads the whole body of a response; fails with `lost` if it is incomplete. */
+const DEFAULT_MAX_BYTES = 33_554_432;
+
+/**
+ * Reads the whole body of a response; fails with `lost` if it is incomplete or
+ * longer than `maxBytes`.
+ */
 export async function readBody(
   res: IncomingMessage,
+  maxBytes = DEFAULT_MAX_BYTES,
 ): Promise<Result<Buffer, HttpFailure>> {
   try {
     const chunks: Buffer[] = [];
-    for await (const chunk of res) chunks.push(chunk as Buffer);
+    let bytes = 0;
+    for await (const chunk of res as AsyncIterable<Buffer>) {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes > maxBytes) break;
+    }
+    if (bytes > maxBytes) {
+      const message = `The body is longer than ${maxBytes} bytes.`;
+      return err({type: 'lost', message});
+    }
     if (!res.complete)
       return err({type: 'lost', message: 'The body is incomplete.'});
     return ok(Buffer.concat(chunks));
