fix(gateway): a stream under way on a server that crashes is not to blame

Cause: each lost connection counted against each request on it, also against streams that were being written, which a request that crashes a server never is: it crashes when its answer begins.

Change: a loss counts only for attempts without events, and the first event clears a request, as it clears the parts of its prompt.

Evidence: the new test got 'suspect-request' before and passes now.

--- a/packages/gateway/src/__tests__/crashing_part.test.ts
+++ b/packages/gateway/src/__tests__/crashing_part.test.ts
@@ -152,3 +152,20 @@
   const {received} = send(fixture, 'r1', ['subject']);
   expect(received.failure).toEqual(undefined);
 });
+
+test('a stream under way on servers that crash is not refused as the culprit', () => {
+  const fixture = gatewayFixture(SERVERS);
+  const {attempts, clock} = fixture;
+  const retries = ['t1', 't2', 't3'];
+  retries.forEach(requestId => {
+    fixture.serve('/stream/same', {requestId});
+    const attempt = attempts.findLast(({req}) => req.requestId === requestId);
+    attempt?.emit({type: 'sent'});
+    attempt?.emit({type: 'head', head: HEAD});
+    attempt?.emit({type: 'events', firstId: 0, texts: ['id: 0\n\n']});
+    clock.now += INTERVAL_MS;
+    attempt?.emit({type: 'failed', reason: 'The response was cut off.'});
+  });
+  const {received} = fixture.serve('/stream/same', {requestId: 'last'});
+  expect(received.failure).toEqual(undefined);
+});
--- a/packages/gateway/src/core/suspects.ts
+++ b/packages/gateway/src/core/suspects.ts
@@ -42,14 +42,19 @@
     this.parts.recordTrial(spec);
   }
 
-  /** Records a lost connection to a server that had a request. */
+  /**
+   * Records a lost connection to a server that had a request. A server that has
+   * begun to answer was not lost because of this request.
+   */
   recordLoss(spec: CallSpec, {server, heldMs, hadEvents}: Loss): void {
+    if (hadEvents) return;
     this.requests.recordDisconnect(spec, server.id, heldMs);
-    if (!hadEvents) this.parts.recordLoss(spec, server, heldMs);
+    this.parts.recordLoss(spec, server, heldMs);
   }
 
   /** Records that a server has begun to answer a request. */
   recordBegun(spec: CallSpec): void {
+    this.requests.recordAnswer(spec);
     this.parts.recordAnswer(spec);
   }
 
