fix(gateway): a gateway that saw an answer objects to a blocked part

What callers may see: a gateway refuses all prompts of a workspace, because their first part was there when servers crashed.

Cause: a gateway that had been restarted had missed the answers. The others objected to single losses, and an objection could arrive before the loss that led to the block; nothing cleared it afterwards.

Evidence: the new test fails before.

--- a/packages/decisions/src/serving/suspect_change.ts
+++ b/packages/decisions/src/serving/suspect_change.ts
@@ -25,7 +25,7 @@
       readonly heldMs: number;
     }
   | {
-      /** Parts under suspicion are in a prompt that is being answered. */
+      /** Parts under suspicion are in a prompt that was answered lately. */
       readonly type: 'parts-answered';
       readonly parts: readonly string[];
     }
@@ -35,7 +35,7 @@
       readonly part: string;
     }
   | {
-      /** A part was blocked before the receiver was linked. */
+      /** A part was blocked, just now or before the receiver was linked. */
       readonly type: 'part-blocked';
       readonly part: string;
       readonly trials: number;
--- a/packages/gateway/src/__tests__/crashing_part.test.ts
+++ b/packages/gateway/src/__tests__/crashing_part.test.ts
@@ -169,3 +169,26 @@
   const {received} = fixture.serve('/stream/same', {requestId: 'last'});
   expect(received.failure).toEqual(undefined);
 });
+
+test('a gateway that blocks a part hears from one that has answered it', () => {
+  const restarted = gatewayFixture(SERVERS);
+  const other = gatewayFixture(SERVERS);
+  send(other, 'sound', ['rules']);
+  answer(other, 'sound');
+  ['p1', 'p2'].forEach(id => {
+    restarted.clock.now += INTERVAL_MS;
+    send(restarted, id, ['rules']);
+    crash(restarted, id);
+  });
+  const before = send(restarted, 'r1', ['rules']);
+  expect(before.received.failure?.kind).toEqual('suspect-request');
+  // The other one has got nothing of what led to this.
+  const blocked = restarted.announced.filter(
+    ({type}) => type === 'part-blocked',
+  );
+  blocked.forEach(change => other.fleet.applyRemoteChange(change, 'peer'));
+  other.clock.now = restarted.clock.now;
+  forward(other, restarted);
+  const after = send(restarted, 'r2', ['rules']);
+  expect(after.received.failure).toEqual(undefined);
+});
--- a/packages/gateway/src/core/suspect_part_list.ts
+++ b/packages/gateway/src/core/suspect_part_list.ts
@@ -129,6 +129,12 @@
       .forEach(part => onPartBlocked(part, false));
   }
 
+  /** Tells the others, so that one that knows better can object. */
+  private announceBlocked(part: string): void {
+    const {applyAndAnnounce} = this.options;
+    applyAndAnnounce({type: 'part-blocked', part, trials: 0, ageMs: 0});
+  }
+
   private announceAnswered(parts: readonly string[]): void {
     this.options.applyAndAnnounce({type: 'parts-answered', parts});
   }
@@ -139,10 +145,16 @@
       const parts = change.parts.filter(part => !this.answered.has(part));
       const loss = {...change, parts};
       const now = this.options.now();
+      const blockedBefore = suspectParts.blocked(this.parts);
       this.parts = suspectParts.recordLoss(this.parts, loss, now);
+      suspectParts
+        .blocked(this.parts)
+        .filter(part => !blockedBefore.includes(part))
+        .forEach(part => this.announceBlocked(part));
       if (sound.length > 0) this.announceAnswered(sound);
     },
     'parts-answered': ({parts}) => {
+      parts.forEach(part => this.answered.add(part));
       this.parts = suspectParts.recordAnswer(this.parts, parts);
     },
     'part-tried': ({part}) => {
@@ -150,6 +162,7 @@
       this.parts = suspectParts.recordTrial(this.parts, part, now);
     },
     'part-blocked': ({part, trials, ageMs}) => {
+      if (this.answered.has(part)) return this.announceAnswered([part]);
       const now = this.options.now();
       const age = {trials, ageMs};
       this.parts = suspectParts.addBlocked(this.parts, part, age, now);
