test(soak): prompts with a part that crashes servers

Each run draws about one such part; prompts with it come at any gateway, 8 a second for up to 9 s, and sound ones share their first part and a subject. At most three may reach engines from 3 s after the fifth crash.

--- a/playground/src/__tests__/check_invariants.test.ts
+++ b/playground/src/__tests__/check_invariants.test.ts
@@ -50,6 +50,8 @@
   drains: [],
   disruptions: [],
   stops: [],
+  promptCrashes: [],
+  crashingPartByRequestId: new Map(),
   unexpectedExits: [],
   finalRequests: [],
   leakedReservationIds: [],
@@ -155,6 +157,33 @@
   expect(violatedBy(3, 2_100)).toEqual([]);
 });
 
+test('prompts with a part that crashes servers must stop being sent', () => {
+  const promptCrashes = [0, 10, 20, 30, 40].map(at => ({part: 'p', at}));
+  const ids = ['r1', 'r2', 'r3', 'r4'];
+  const crashingPartByRequestId = new Map(ids.map(id => [id, 'p']));
+  const arrivalsAt = (at: number, count: number) =>
+    ids.slice(0, count).map(requestId => ({requestId, serverId: 'a', at}));
+  const violatedBy = (at: number, count: number, crashes = promptCrashes) =>
+    violated({
+      promptCrashes: crashes,
+      crashingPartByRequestId,
+      arrivals: arrivalsAt(at, count),
+    });
+  expect(violatedBy(3_041, 4)).toEqual(['sent-crashing-part']);
+  expect(violatedBy(3_041, 3)).toEqual([]);
+  expect(violatedBy(3_039, 4)).toEqual([]);
+  expect(violatedBy(3_041, 4, promptCrashes.slice(0, 4))).toEqual([]);
+  const paused = {gateway: 'g', from: 2_000, to: 2_500};
+  expect(
+    violated({
+      promptCrashes,
+      crashingPartByRequestId,
+      arrivals: arrivalsAt(3_041, 4),
+      gatewayDisruptions: [paused],
+    }),
+  ).toEqual([]);
+});
+
 test('exits, final requests and leaked reservations are checked', () => {
   const stop = {gateway: 'g', durationMs: 100, exitCode: 0};
   expect(violated({stops: [stop]})).toEqual([]);
--- a/playground/src/__tests__/plan_soak_actions.test.ts
+++ b/playground/src/__tests__/plan_soak_actions.test.ts
@@ -12,11 +12,11 @@
   expect(starts).toEqual(starts.toSorted((a, b) => a - b));
 });
 
-test('50 seeds together draw all 21 types of actions', () => {
+test('50 seeds together draw all 22 types of actions', () => {
   const types = new Set(
     Array.from({length: 50}, (_, seed) => planSoakActions({...OPTIONS, seed}))
       .flat()
       .map(({type}) => type),
   );
-  expect(types.size).toEqual(21);
+  expect(types.size).toEqual(22);
 });
--- a/playground/src/soak/check_invariants.ts
+++ b/playground/src/soak/check_invariants.ts
@@ -2,6 +2,7 @@
   CallerOutcome,
   RequestExecution,
 } from '@figfall/gateway-server/testing';
+import {checkCrashingPrompts} from './check_crashing_prompts.js';
 import {checkServerNotices} from './check_server_notices.js';
 import {DRAIN_LIMIT_MS} from './drain_limit_ms.js';
 import type {SoakObservations} from './soak_observations.js';
@@ -157,6 +158,7 @@
   checkForwardedRequests,
   checkDrains,
   checkServerNotices,
+  checkCrashingPrompts,
   checkStops,
   checkExits,
   checkFinalRequests,
--- a/playground/src/soak/plan_soak_actions.ts
+++ b/playground/src/soak/plan_soak_actions.ts
@@ -53,11 +53,16 @@
   {type: 'server-pause'},
 ];
 
+/** Kinds drawn by themselves, so that seeds keep all actions above. */
+const PROMPT_ACTION_KINDS: readonly ActionKind[] = [{type: 'prompt-crash'}];
+
 /** Added to the seed for the kinds drawn apart. */
 const LATER_SEED_OFFSET = 1_000_003;
+const PROMPT_SEED_OFFSET = 2_000_003;
 
 const MEAN_INTERVAL_MS = 450;
 const LATER_MEAN_INTERVAL_MS = 1_200;
+const PROMPT_MEAN_INTERVAL_MS = 8_000;
 const MIN_DURATION_MS = 300;
 const MAX_DURATION_MS = 3_000;
 
@@ -100,5 +105,13 @@
     kinds: LATER_ACTION_KINDS,
     meanIntervalMs: LATER_MEAN_INTERVAL_MS,
   });
-  return [...first, ...later].toSorted((a, b) => a.startMs - b.startMs);
+  const prompts = drawActions({
+    ...options,
+    seed: options.seed + PROMPT_SEED_OFFSET,
+    kinds: PROMPT_ACTION_KINDS,
+    meanIntervalMs: PROMPT_MEAN_INTERVAL_MS,
+  });
+  return [...first, ...later, ...prompts].toSorted(
+    (a, b) => a.startMs - b.startMs,
+  );
 }
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -2,6 +2,7 @@
 import {rmSync} from 'node:fs';
 import {sleep} from '../http/sleep.js';
 import {checkInvariants} from './check_invariants.js';
+import {CrashingPrompts} from './crashing_prompts.js';
 import {planSoakActions} from './plan_soak_actions.js';
 import {SoakCallers} from './soak_callers.js';
 import type {SoakObservations} from './soak_observations.js';
@@ -51,6 +52,9 @@
 /** Time limit for reservations to end after their last use. */
 const RESERVATION_LIMIT_MS = 4_000;
 
+/** Crashing prompts come this many times longer than other actions last. */
+const CRASHING_FACTOR = 3;
+
 const POLL_INTERVAL_MS = 200;
 
 const FINAL_REQUESTS = [
@@ -164,19 +168,30 @@
   const {modelEngines = 6, plainServices = 3, callers: count = 24} = options;
   const now = () => performance.now();
   const subnetIndex = (process.pid + seed) % 25_000;
+  const crashing = new CrashingPrompts(now);
   const deployment = await startSoakDeployment({
     gateways,
     modelEngines,
     plainServices,
     subnetIndex,
     now,
+    crashesOn: parts => crashing.crashesOn(parts),
   });
-  const injector = new SoakFaultInjector({deployment, now});
   const callers = new SoakCallers({
     seed,
     count,
     gateways: deployment.gateways,
     port: SOAK_PORTS.callers,
+    crashingPartByRequestId: crashing.partByRequestId,
+  });
+  const injector = new SoakFaultInjector({
+    deployment,
+    now,
+    sendCrashingPrompts: forMs => {
+      const part = `crash-${callers.outcomes.length}`;
+      crashing.add(part);
+      void callers.sendCrashing(part, forMs * CRASHING_FACTOR);
+    },
   });
   const plan = planSoakActions({
     seed,
@@ -212,6 +227,8 @@
     noticeResponses: deployment.noticeResponses,
     gatewayByRequestId: callers.gatewayByRequestId,
     gatewayDisruptions: injector.gatewayDisruptions,
+    promptCrashes: crashing.crashes,
+    crashingPartByRequestId: crashing.partByRequestId,
     drains: injector.drains,
     disruptions: injector.disruptions,
     stops,
--- a/playground/src/soak/soak_action.ts
+++ b/playground/src/soak/soak_action.ts
@@ -29,7 +29,8 @@
         | 'server-disconnect'
         | 'server-drop-responses'
         | 'zone-evacuate'
-        | 'config-change';
+        | 'config-change'
+        | 'prompt-crash';
     }
   | {readonly type: 'store-fault'; readonly fault: StoreFault}
   | {readonly type: 'server-fault'; readonly fault: BackendFault}
--- a/playground/src/soak/soak_callers.ts
+++ b/playground/src/soak/soak_callers.ts
@@ -10,6 +10,8 @@
   readonly count: number;
   readonly gateways: readonly {readonly name: string; readonly host: string}[];
   readonly port: number;
+  /** The crashing part of each request that has one. */
+  readonly crashingPartByRequestId: Map<string, string>;
 }
 
 interface Credentials {
@@ -34,6 +36,12 @@
 const PROMPT_TOKENS = [400, 5_000, 40_000, 150_000];
 const MAX_OUTPUT_TOKENS = 40;
 
+/** Subjects of prompts; those of one subject share a part. */
+const SUBJECTS = 6;
+
+/** Time between two prompts with a part that crashes servers. */
+const CRASHING_PAUSE_MS = 120;
+
 /** Probability that a caller may disconnect before the response is complete. */
 const DISCONNECT_PROBABILITY = 0.08;
 
@@ -83,6 +91,17 @@
     }
   }
 
+  /** Sends prompts with a part that crashes servers for a while. */
+  async sendCrashing(part: string, durationMs: number): Promise<void> {
+    const agent = new Agent();
+    const until = performance.now() + durationMs;
+    while (!this.isStopped && performance.now() < until) {
+      const gateway = this.randomBelow(this.options.gateways.length);
+      void this.send(agent, {gateway, kind: 'stream', crashingPart: part});
+      await sleep(CRASHING_PAUSE_MS);
+    }
+  }
+
   /** Sends one request and records its outcome. */
   async send(
     agent: Agent,
@@ -93,6 +112,8 @@
       /** @default the first valid ones */
       readonly credentials?: Credentials;
       readonly disconnectAfterMs?: number;
+      /** Part of the prompt under which servers crash. */
+      readonly crashingPart?: string;
     },
   ): Promise<CallerOutcome> {
     const {gateways, port} = this.options;
@@ -106,6 +127,10 @@
     this.sentCount += 1;
     const requestId = `r${this.options.seed}-${this.sentCount}`;
     this.gatewayByRequestId.set(requestId, gateway.name);
+    if (request.crashingPart) {
+      const {crashingPartByRequestId} = this.options;
+      crashingPartByRequestId.set(requestId, request.crashingPart);
+    }
     const outcome = await sendCallerRequest({
       requestId,
       kind,
@@ -118,6 +143,7 @@
       apiKey: credentials.apiKey,
       promptTokens:
         PROMPT_TOKENS[this.randomBelow(PROMPT_TOKENS.length)] ?? 400,
+      promptParts: this.promptParts(requestId, request.crashingPart),
       outputTokens: 1 + this.randomBelow(MAX_OUTPUT_TOKENS),
       timeoutMs: TIMEOUT_MS,
       disconnectAfterMs,
@@ -126,6 +152,17 @@
     return outcome;
   }
 
+  private promptParts(requestId: string, crashingPart?: string): string {
+    const subject = this.sentCount % SUBJECTS;
+    const crashing = crashingPart === undefined ? [] : [`${crashingPart}:50`];
+    return [
+      'rules:40',
+      `subject-${subject}:90`,
+      ...crashing,
+      `${requestId}:9`,
+    ].join(',');
+  }
+
   private randomBelow(limit: number): number {
     return Math.floor(this.random() * limit);
   }
--- a/playground/src/soak/soak_fault_injector.ts
+++ b/playground/src/soak/soak_fault_injector.ts
@@ -12,6 +12,8 @@
   readonly deployment: Deployment;
   /** Returns monotonic time in milliseconds. */
   readonly now: () => number;
+  /** Sends prompts that crash servers for a while. */
+  readonly sendCrashingPrompts: (durationMs: number) => void;
 }
 
 type ActionHandlers = {
@@ -235,6 +237,8 @@
       store.put('evacuations', zone, {});
       this.schedule(action.durationMs, () => store.remove('evacuations', zone));
     },
+    'prompt-crash': ({durationMs}) =>
+      this.options.sendCrashingPrompts(durationMs),
     'config-change': () => {
       const {currentConfig, updateConfig} = this.options.deployment;
       const {hasReadRoute} = currentConfig();
--- a/playground/src/soak/soak_observations.ts
+++ b/playground/src/soak/soak_observations.ts
@@ -32,6 +32,14 @@
   }[];
   /** Spans in which a gateway was paused, or its access to the store disrupted. */
   readonly disruptions: readonly TimeSpan[];
+  /** Crashes of model engines under a part of a prompt. */
+  readonly promptCrashes: readonly {
+    readonly part: string;
+    /** Monotonic time in milliseconds. */
+    readonly at: number;
+  }[];
+  /** The crashing part of each request that has one. */
+  readonly crashingPartByRequestId: ReadonlyMap<string, string>;
   /** Gateways that were asked to stop; the exit code is null after a signal. */
   readonly stops: readonly {
     readonly gateway: string;
--- a/playground/src/soak/soak_server.ts
+++ b/playground/src/soak/soak_server.ts
@@ -18,6 +18,8 @@
   readonly onExecution: (execution: RequestExecution) => void;
   readonly onArrival: (arrival: BackendArrival) => void;
   readonly onNotice: (notice: NoticeResponse) => void;
+  /** True if a prompt with these parts crashes a model engine. */
+  readonly crashesOn: (promptParts: string) => boolean;
   /** Writes the store's entry of a server. */
   readonly putEntry: (serverId: string, entry: object) => void;
   /** Removes the store's entry of a server. */
@@ -31,6 +33,9 @@
 /** Time after its start in which a server is cold. */
 const COLD_MS = 800;
 
+/** Time until a server is up again that has crashed under a prompt. */
+const RESTART_MS = 1_500;
+
 /** Time from the start of draining until a server exits. */
 const DRAIN_MS = 2_500;
 
@@ -54,6 +59,7 @@
       onExecution: options.onExecution,
       onArrival: options.onArrival,
       onNotice: options.onNotice,
+      crashesOn: parts => this.crashOn(parts),
     });
   }
 
@@ -102,6 +108,13 @@
     if (this.endLater()) this.fakeServer.startLeaving();
   }
 
+  private crashOn(promptParts: string): boolean {
+    if (!this.options.crashesOn(promptParts)) return false;
+    this.isDraining = false;
+    setTimeout(() => void this.start(), RESTART_MS);
+    return true;
+  }
+
   /** Ends the server after its drain; false if it is down or draining. */
   private endLater(): boolean {
     if (!this.fakeServer.isUp() || this.isDraining) return false;
--- a/playground/src/soak/start_soak_deployment.ts
+++ b/playground/src/soak/start_soak_deployment.ts
@@ -28,6 +28,8 @@
   readonly subnetIndex: number;
   /** Returns monotonic time in milliseconds. */
   readonly now: () => number;
+  /** True if a prompt with these parts crashes a model engine. */
+  readonly crashesOn: (promptParts: string) => boolean;
 }
 
 /** A gateway process with the relay between it and the store. */
@@ -108,6 +110,7 @@
         onExecution: execution => executions.push(execution),
         onArrival: arrival => arrivals.push(arrival),
         onNotice: notice => noticeResponses.push(notice),
+        crashesOn: options.crashesOn,
         putEntry: (serverId, entry) => store.put('servers', serverId, entry),
         removeEntry: serverId => store.remove('servers', serverId),
       }),
