fix(gateway): do not hold memory for a server that no longer responds

Cause: the server that ran the prompt was gone at 1.21 s without closing its connection. An attempt that holds memory elsewhere is given up after 3.5 s of silence or twice its prediction, here 4.8 s, and renewed the reservation until then.

Change: with each renewal the gateway asks the prompt's own server for its state; after two calls in a row without an answer the attempt has failed and the reservations are released.

The new test of ReservationGroup and 129 tests of gateway and platform pass.

--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -115,6 +115,7 @@
     },
     reserve: () => Promise.resolve('granted'),
     release: () => Promise.resolve(),
+    isResponding: () => Promise.resolve(true),
     pruneConnections: () => undefined,
   };
   const fleet = new Fleet({
--- a/packages/gateway/src/__tests__/reservation_group.test.ts
+++ b/packages/gateway/src/__tests__/reservation_group.test.ts
@@ -1,4 +1,5 @@
 import {mock, test} from 'node:test';
+import {setImmediate} from 'node:timers/promises';
 import type {BackendServer} from '@figfall/decisions';
 import {expect} from 'earl';
 import {ReservationGroup} from '../calls/reservation_group.js';
@@ -20,6 +21,7 @@
 
 function setUp(refusing: readonly string[] = []) {
   const calls: string[] = [];
+  const checks: Record<string, boolean> = {};
   const client: BackendClient = {
     send: () => {
       throw new Error('unexpected request');
@@ -32,17 +34,20 @@
       calls.push(`release ${id}`);
       return Promise.resolve();
     },
+    isResponding: ({id}) => Promise.resolve(checks[id] ?? true),
     pruneConnections: () => undefined,
   };
-  const group = new ReservationGroup(
+  const group = new ReservationGroup({
     client,
-    ['a', 'b'].map(id => ({
+    reservations: ['a', 'b'].map(id => ({
       server: server(id),
       reservationId: 'r1',
       tokens: 100,
     })),
-  );
-  return {calls, group};
+    primary: server('p'),
+    onPrimaryLost: () => calls.push('lost'),
+  });
+  return {calls, group, checks};
 }
 
 const RESERVE = ['a', 'b'].map(
@@ -82,3 +87,24 @@
   expect(calls).toEqual([...RESERVE, ...RELEASE]);
   mock.timers.reset();
 });
+
+test('memory is not held for a server that misses two checks in a row', async () => {
+  mock.timers.enable({apis: ['setInterval']});
+  const {calls, group, checks} = setUp();
+  const renew = async () => {
+    mock.timers.tick(GATEWAY.RESERVATION_RENEW_MS);
+    await setImmediate();
+  };
+  await group.acquire();
+  checks.p = false;
+  await renew();
+  checks.p = true;
+  await renew();
+  checks.p = false;
+  await renew();
+  expect(calls.includes('lost')).toEqual(false);
+  await renew();
+  expect(calls.filter(call => call === 'lost').length).toEqual(1);
+  group.release();
+  mock.timers.reset();
+});
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -61,7 +61,12 @@
       this.send();
       return;
     }
-    this.reservations = new ReservationGroup(client, reserved);
+    this.reservations = new ReservationGroup({
+      client,
+      reservations: reserved,
+      primary: options.server,
+      onPrimaryLost: () => this.onPrimaryLost(),
+    });
     void this.reserveAndSend(this.reservations);
   }
 
@@ -92,6 +97,12 @@
     this.work.endAll();
   }
 
+  private onPrimaryLost(): void {
+    if (this.hasEnded) return;
+    const reason = 'The backend server no longer responds.';
+    this.options.onEvent({type: 'failed', reason});
+  }
+
   private async reserveAndSend(group: ReservationGroup): Promise<void> {
     const denials = await group.acquire();
     denials.forEach(({server, result}) =>
--- a/packages/gateway/src/calls/reservation_group.ts
+++ b/packages/gateway/src/calls/reservation_group.ts
@@ -10,21 +10,34 @@
   readonly tokens: number;
 }
 
+interface ReservationGroupOptions {
+  readonly client: BackendClient;
+  readonly reservations: readonly Reservation[];
+  /** The server that uses the memory reserved on the others. */
+  readonly primary: BackendServer;
+  /** Called if the primary is gone, so that nobody uses the memory. */
+  readonly onPrimaryLost: () => void;
+}
+
+/** Consecutive checks without an answer after which a server is gone. */
+const MISSED_CHECKS_MAX = 2;
+
 /** A server that did not grant its reservation. */
 interface Denial {
   readonly server: BackendServer;
   readonly result: Exclude<ReserveResult, 'granted'>;
 }
 
-/** Reservations of one prompt: all or none, renewed until they are released. */
+/**
+ * Reservations of one prompt: all or none, renewed until they are released, for
+ * as long as the server that uses them responds.
+ */
 export class ReservationGroup {
   private timer?: NodeJS.Timeout;
   private isReleased = false;
+  private missedChecks = 0;
 
-  constructor(
-    private readonly client: BackendClient,
-    private readonly reservations: readonly Reservation[],
-  ) {}
+  constructor(private readonly options: ReservationGroupOptions) {}
 
   /**
    * Reserves on all servers and returns those that did not grant it. If there
@@ -39,6 +52,7 @@
     }
     this.timer = setInterval(() => {
       void this.reserveAll();
+      void this.checkPrimary();
     }, GATEWAY.RESERVATION_RENEW_MS);
     return [];
   }
@@ -47,22 +61,32 @@
     if (this.isReleased) return;
     this.isReleased = true;
     clearInterval(this.timer);
-    this.reservations.forEach(({server, reservationId}) => {
-      void this.client.release(server, reservationId);
+    const {client, reservations} = this.options;
+    reservations.forEach(({server, reservationId}) => {
+      void client.release(server, reservationId);
     });
   }
 
+  private async checkPrimary(): Promise<void> {
+    const {client, primary, onPrimaryLost} = this.options;
+    const isResponding = await client.isResponding(primary);
+    this.missedChecks = isResponding ? 0 : this.missedChecks + 1;
+    if (this.isReleased || this.missedChecks < MISSED_CHECKS_MAX) return;
+    onPrimaryLost();
+  }
+
   private async reserveAll(): Promise<readonly Denial[]> {
+    const {client, reservations} = this.options;
     const results = await Promise.all(
-      this.reservations.map(({server, reservationId, tokens}) =>
-        this.client.reserve(server, {
+      reservations.map(({server, reservationId, tokens}) =>
+        client.reserve(server, {
           reservationId,
           tokens,
           holdMs: GATEWAY.RESERVATION_TTL_MS,
         }),
       ),
     );
-    return this.reservations.flatMap(({server}, i) => {
+    return reservations.flatMap(({server}, i) => {
       const result = results[i];
       return result === undefined || result === 'granted'
         ? []
--- a/packages/gateway/src/ports/backend_client.ts
+++ b/packages/gateway/src/ports/backend_client.ts
@@ -33,6 +33,8 @@
     server: BackendServer,
     reservationId: string,
   ) => Promise<void>;
+  /** True if a server answers a question about its state in time. */
+  readonly isResponding: (server: BackendServer) => Promise<boolean>;
   /** Closes idle connections to servers that are not in the list. */
   readonly pruneConnections: (servers: readonly BackendServer[]) => void;
 }
