fix(http-client): close idle connections before their server does

Cause, in part: Node.js heeds 'Keep-Alive: timeout' only where the agent has a timeout that is longer, and the agents had none; so an idle connection stayed until its server closed it, and a request could cross the close.

Change: IdleLimitedAgent closes an idle connection a second before its server says, after 4 s at most; for backend servers and for all other calls.

--- a/packages/http-client/src/index.ts
+++ b/packages/http-client/src/index.ts
@@ -6,3 +6,4 @@
 export * from './read_body.js';
 export * from './read_events.js';
 export * from './set_connect_timeout.js';
+export * from './idle_limited_agent.js';
--- a/packages/http-client/src/open_exchange.ts
+++ b/packages/http-client/src/open_exchange.ts
@@ -1,12 +1,16 @@
-import {Agent, request} from 'node:http';
+import {request} from 'node:http';
 import type {IncomingMessage} from 'node:http';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import type {HttpFailure} from './http_failure.js';
 import type {HttpRequest} from './http_request.js';
+import {IdleLimitedAgent} from './idle_limited_agent.js';
 import {setConnectTimeout} from './set_connect_timeout.js';
 
-const keepAliveAgent = new Agent({keepAlive: true, maxSockets: 512});
+const keepAliveAgent = new IdleLimitedAgent({
+  keepAlive: true,
+  maxSockets: 512,
+});
 
 /** Milliseconds within which a connection must be established. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -46,7 +50,10 @@
       const message = `No data from ${options.baseUrl} for ${options.timeoutMs} ms.`;
       req.destroy(new Error(message));
     });
-    req.on('response', res => resolve(ok(res)));
+    req.on('response', res => {
+      keepAliveAgent.recordResponse(res);
+      resolve(ok(res));
+    });
     req.on('error', error => resolve(err(toHttpFailure(error))));
     req.end(body);
   });
