--- a/playground/src/soak/gateway_process.ts
+++ b/playground/src/soak/gateway_process.ts
@@ -55,9 +55,9 @@
   }
 
   /**
-   * Returns true once the program has printed output. Before that its signal
-   * handlers may be missing, and a signal would end the process by default;
-   * no request has been accepted by then.
+   * Returns true once the program has printed output, until it is killed.
+   * Before that its signal handlers may be missing, and a signal would end the
+   * process by default; no request has been accepted by then.
    */
   isRunning(): boolean {
     return this.hasPrintedOutput;
@@ -70,6 +70,7 @@
 
   /** Kills the process; resolves with its exit code, null after a signal. */
   kill(): Promise<number | null> {
+    this.hasPrintedOutput = false;
     return this.terminate('SIGKILL');
   }
 
