test(soak): the run waits for gateways that are still stopping

Traced by plan and log: gateway-stop at 9.3 s, a second before the faults end; the gateway served on until it had stopped 3.7 s later, so the harness took it for recovered, and it was up again 1.2 s before its last request, a prompt of 150,000 tokens. The check is as it was; the faults count as ended once pending stops are over. Why a gateway that is up for 1.2 s finds no servers for such a prompt is not traced.

--- a/playground/src/soak/soak_fault_injector.ts
+++ b/playground/src/soak/soak_fault_injector.ts
@@ -1,3 +1,4 @@
+import {pickTarget} from './pick_target.js';
 import type {SoakAction} from './soak_action.js';
 import type {SoakObservations} from './soak_observations.js';
 import {SOAK_ZONES} from './soak_zones.js';
@@ -38,6 +39,7 @@
   > = [];
   readonly stops: MutableList<SoakObservations['stops'][number]> = [];
   private readonly stopping = new Set<Gateway>();
+  private readonly pendingStops: Promise<void>[] = [];
   private readonly timers = new Set<NodeJS.Timeout>();
 
   constructor(private readonly options: FaultInjectorOptions) {}
@@ -48,7 +50,7 @@
     handler(action);
   }
 
-  /** Ends all faults and starts the backend servers that are down. */
+  /** Ends all faults, also stops, and starts the servers that are down. */
   async clearFaults(): Promise<void> {
     this.timers.forEach(timer => clearTimeout(timer));
     const {gateways, servers, store, currentConfig, updateConfig} =
@@ -66,23 +68,18 @@
       relay.setStallOnResponse(false);
       backend.setFault('none');
     });
+    await Promise.all(this.pendingStops);
     await Promise.all(servers.map(server => server.start()));
     SOAK_ZONES.forEach(zone => store.remove('evacuations', zone));
     updateConfig({...currentConfig(), hasReadRoute: true});
   }
 
   private targetGateway({targetIndex}: SoakAction): Gateway {
-    const {gateways} = this.options.deployment;
-    const gateway = gateways[targetIndex % gateways.length];
-    if (!gateway) throw new Error('The deployment has no gateways.');
-    return gateway;
+    return pickTarget(this.options.deployment.gateways, targetIndex);
   }
 
   private targetServer({targetIndex}: SoakAction): Server {
-    const {servers} = this.options.deployment;
-    const server = servers[targetIndex % servers.length];
-    if (!server) throw new Error('The deployment has no backend servers.');
-    return server;
+    return pickTarget(this.options.deployment.servers, targetIndex);
   }
 
   /** Calls a function after a delay, unless `clearFaults` comes first. */
@@ -143,7 +140,9 @@
       this.disruptGateway(gateway, RESTART_MS);
       void gateway.process.kill();
     },
-    'gateway-stop': action => void this.stopGateway(this.targetGateway(action)),
+    'gateway-stop': action => {
+      this.pendingStops.push(this.stopGateway(this.targetGateway(action)));
+    },
     'gateway-pause': action => {
       const gateway = this.targetGateway(action);
       if (this.stopping.has(gateway)) return;
@@ -233,7 +232,7 @@
     },
     'zone-evacuate': action => {
       const {store} = this.options.deployment;
-      const zone = SOAK_ZONES[action.targetIndex % SOAK_ZONES.length] ?? '';
+      const zone = pickTarget(SOAK_ZONES, action.targetIndex);
       store.put('evacuations', zone, {});
       this.schedule(action.durationMs, () => store.remove('evacuations', zone));
     },
