fix(store): use servers at once that started during an outage before a restore

Callers saw: after the store came back from an older copy, two of three gateways answered all prompts with 429 or 503 for up to 5 s, although four sound model servers were listed.

Cause: a server that a restored store lists and that the gateway did not know was taken for one that had been gone, and left out for 5 s. All model servers had been replaced while the store was away (the part that crashes servers), so the new ones were unknown too and none was left.

The new test `servers that started during the outage before a restore are used at once` fails without the change (7 passed, 1 failed).

Change: only a server whose process started more than 3 s before the last listing may have been gone then. Listings carry the Unix time for that; the other tests of the list pass it too, their expectations are unchanged.

--- a/packages/decisions/src/serving/__tests__/known_servers.test.ts
+++ b/packages/decisions/src/serving/__tests__/known_servers.test.ts
@@ -9,6 +9,8 @@
 }));
 if (!a || !b) throw new Error('no servers');
 
+const UNIX_NOW = 1_700_000_000_000;
+
 function ids(known: ReturnType<typeof knownServers.empty>) {
   return knownServers.all(known).map(({id}) => id);
 }
@@ -16,12 +18,12 @@
 test('an unlisted server is removed immediately if the store had no outage', () => {
   const full = knownServers.applyListing(
     knownServers.empty(),
-    {servers: [a, b], restoredAt: 0},
+    {servers: [a, b], restoredAt: 0, unixNow: UNIX_NOW},
     0,
   );
   const next = knownServers.applyListing(
     full,
-    {servers: [a], restoredAt: 0},
+    {servers: [a], restoredAt: 0, unixNow: UNIX_NOW},
     9_000,
   );
   expect(ids(next)).toEqual(['i-0']);
@@ -30,10 +32,10 @@
 test('servers that are unlisted after a store outage are kept for a while', () => {
   const full = knownServers.applyListing(
     knownServers.empty(),
-    {servers: [a, b], restoredAt: 0},
+    {servers: [a, b], restoredAt: 0, unixNow: UNIX_NOW},
     0,
   );
-  const back = {servers: [a], restoredAt: 9_000};
+  const back = {servers: [a], restoredAt: 9_000, unixNow: UNIX_NOW};
   const next = knownServers.applyListing(full, back, 9_010);
   expect(ids(next)).toEqual(['i-0', 'i-1']);
   expect(ids(knownServers.removeExpired(next, 10_500))).toEqual(['i-0', 'i-1']);
@@ -43,13 +45,13 @@
 test('an unlisted server is removed if another server has its address', () => {
   const full = knownServers.applyListing(
     knownServers.empty(),
-    {servers: [a, b], restoredAt: 0},
+    {servers: [a, b], restoredAt: 0, unixNow: UNIX_NOW},
     0,
   );
   const successor = {...a, id: 'i-9', port: b.port};
   const next = knownServers.applyListing(
     full,
-    {servers: [a, successor], restoredAt: 9_000},
+    {servers: [a, successor], restoredAt: 9_000, unixNow: UNIX_NOW},
     9_010,
   );
   expect(ids(next)).toEqual(['i-0', 'i-9']);
@@ -58,10 +60,15 @@
 test('a server that a restored store lacks is kept until it may register again', () => {
   const full = knownServers.applyListing(
     knownServers.empty(),
-    {servers: [a, b], restoredAt: 0},
+    {servers: [a, b], restoredAt: 0, unixNow: UNIX_NOW},
     0,
   );
-  const restored = {servers: [a], restoredAt: 9_000, isRestored: true};
+  const restored = {
+    servers: [a],
+    restoredAt: 9_000,
+    unixNow: UNIX_NOW,
+    isRestored: true,
+  };
   const next = knownServers.applyListing(full, restored, 9_000);
   expect(ids(next)).toEqual(['i-0', 'i-1']);
   expect(ids(knownServers.removeExpired(next, 11_200))).toEqual(['i-0']);
@@ -70,24 +77,68 @@
 test('a server that was gone before the store was restored is not used at once', () => {
   const withoutB = knownServers.applyListing(
     knownServers.empty(),
-    {servers: [a], restoredAt: 0},
+    {servers: [a], restoredAt: 0, unixNow: UNIX_NOW},
     0,
   );
-  const restored = {servers: [a, b], restoredAt: 9_000, isRestored: true};
+  const restored = {
+    servers: [a, b],
+    restoredAt: 9_000,
+    unixNow: UNIX_NOW,
+    isRestored: true,
+  };
   const next = knownServers.applyListing(withoutB, restored, 9_000);
   expect(ids(next)).toEqual(['i-0']);
-  const later = {servers: [a, b], restoredAt: 9_000};
+  const later = {servers: [a, b], restoredAt: 9_000, unixNow: UNIX_NOW};
   expect(ids(knownServers.applyListing(next, later, 10_000))).toEqual(['i-0']);
   expect(ids(knownServers.removeExpired(next, 14_000))).toEqual(['i-0', 'i-1']);
 });
 
+test('servers that started during the outage before a restore are used at once', () => {
+  const withoutB = knownServers.applyListing(
+    knownServers.empty(),
+    {servers: [a], restoredAt: 0, unixNow: UNIX_NOW},
+    0,
+  );
+  const successor = {...b, processStartedAt: UNIX_NOW + 2_000};
+  const restored = {
+    servers: [successor],
+    restoredAt: 9_000,
+    isRestored: true,
+    unixNow: UNIX_NOW + 9_000,
+  };
+  const next = knownServers.applyListing(withoutB, restored, 9_000);
+  expect(ids(next)).toEqual(['i-1', 'i-0']);
+});
+
+test('a server that was gone for long before a restore is not used at once', () => {
+  const withoutB = knownServers.applyListing(
+    knownServers.empty(),
+    {servers: [a], restoredAt: 0, unixNow: UNIX_NOW},
+    0,
+  );
+  const old = {...b, processStartedAt: UNIX_NOW - 60_000};
+  const restored = {
+    servers: [a, old],
+    restoredAt: 9_000,
+    isRestored: true,
+    unixNow: UNIX_NOW + 9_000,
+  };
+  const next = knownServers.applyListing(withoutB, restored, 9_000);
+  expect(ids(next)).toEqual(['i-0']);
+});
+
 test('a missing server is dropped before requests to it break the drain bound', () => {
   const full = knownServers.applyListing(
     knownServers.empty(),
-    {servers: [a, b], restoredAt: 0},
+    {servers: [a, b], restoredAt: 0, unixNow: UNIX_NOW},
     0,
   );
-  const back = {servers: [a], restoredAt: 9_000, drainMs: 2_000};
+  const back = {
+    servers: [a],
+    restoredAt: 9_000,
+    unixNow: UNIX_NOW,
+    drainMs: 2_000,
+  };
   const next = knownServers.applyListing(full, back, 9_000);
   expect(ids(knownServers.removeExpired(next, 10_699))).toEqual(['i-0', 'i-1']);
   expect(ids(knownServers.removeExpired(next, 10_700))).toEqual(['i-0']);
--- a/packages/decisions/src/serving/known_servers.ts
+++ b/packages/decisions/src/serving/known_servers.ts
@@ -19,6 +19,12 @@
  */
 const DOUBTFUL_MS = 5_000;
 
+/**
+ * Longest time in milliseconds from the start of a server's process until the
+ * server is listed, with the difference of the clocks of two machines.
+ */
+const START_TO_LISTED_MS = 3_000;
+
 /** Backend servers that a gateway may use. */
 interface KnownServers {
   readonly listed: readonly BackendServer[];
@@ -28,6 +34,8 @@
   readonly doubtfulUntil: ReadonlyMap<string, number>;
   /** Time in milliseconds until which unlisted servers are kept. */
   readonly keptUntil: number;
+  /** Unix time in milliseconds of the last listing; 0 before the first one. */
+  readonly listedAt: number;
 }
 
 /** All servers in service discovery. */
@@ -46,6 +54,16 @@
    * @default Infinity
    */
   readonly drainMs?: number;
+  /** Unix time in milliseconds, to compare with the start of servers. */
+  readonly unixNow: number;
+}
+
+/** True if a server may have been gone at the time of the last listing. */
+function mayHaveBeenGone(
+  {processStartedAt = 0}: BackendServer,
+  {listedAt}: KnownServers,
+): boolean {
+  return processStartedAt < listedAt - START_TO_LISTED_MS;
 }
 
 /** Tracks the listed servers, also through outages of the store. */
@@ -56,6 +74,7 @@
       unlisted: [],
       doubtfulUntil: new Map(),
       keptUntil: 0,
+      listedAt: 0,
     };
   },
 
@@ -73,6 +92,7 @@
       restoredAt,
       isRestored = false,
       drainMs = Infinity,
+      unixNow,
     } = listing;
     const ids = new Set(servers.map(({id}) => id));
     const addresses = new Set(servers.map(({host, port}) => `${host}:${port}`));
@@ -90,13 +110,18 @@
     const isFirst = known.listed.length === 0;
     const beforeIds = new Set(before.map(({id}) => id));
     const returned =
-      isRestored && !isFirst ? [...ids].filter(id => !beforeIds.has(id)) : [];
-    const doubtful = returned.map(id => [id, now + DOUBTFUL_MS] as const);
+      isRestored && !isFirst
+        ? servers.filter(({id}) => !beforeIds.has(id))
+        : [];
+    const doubtful = returned
+      .filter(server => mayHaveBeenGone(server, known))
+      .map(({id}) => [id, now + DOUBTFUL_MS] as const);
     return {
       listed: servers,
       unlisted: keptUntil > now ? missing : [],
       doubtfulUntil: new Map([...known.doubtfulUntil, ...doubtful]),
       keptUntil,
+      listedAt: unixNow,
     };
   },
 
