fix(backends): a request that must not be repeated takes no idle connection

Cause: any idle connection was reused, up to the idle limit of 4 s, also for requests that must not run twice. Servers may drop an idle connection without notice and sooner than usual.

Change: before such a request, the idle connections to its server are closed unless one was used within 500 ms; for plain services of the product's own path too.

--- a/packages/gateway/src/ports/backend_request.ts
+++ b/packages/gateway/src/ports/backend_request.ts
@@ -19,6 +19,8 @@
   readonly headers: HeaderList;
   readonly body: Buffer;
   readonly workspace?: string;
+  /** False if the request must not run twice. */
+  readonly isRepeatable: boolean;
   /** Milliseconds left until the response must be complete; at least 1. */
   readonly timeoutMs: number;
   /** Id of the last event that the caller has, if a stream is resumed. */
--- a/packages/http-client/src/__tests__/idle_limited_agent.test.ts
+++ b/packages/http-client/src/__tests__/idle_limited_agent.test.ts
@@ -15,7 +15,7 @@
   server.on('connection', () => (connections += 1));
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as AddressInfo;
-  const agent = new IdleLimitedAgent({keepAlive: true});
+  const agent = new IdleLimitedAgent();
   const send = () =>
     new Promise<void>(resolve => {
       const req = request({host: '127.0.0.1', port, agent}, res => {
--- a/packages/http-client/src/http_request.ts
+++ b/packages/http-client/src/http_request.ts
@@ -15,6 +15,12 @@
    * @default 33_554_432
    */
   readonly maxBodyBytes?: number;
+  /**
+   * False if the request must not run twice; it then takes no connection that
+   * has lain idle.
+   * @default true
+   */
+  readonly isRepeatable?: boolean;
   /** Aborts the exchange. */
   readonly signal?: AbortSignal;
   /**
--- a/packages/http-client/src/idle_limited_agent.ts
+++ b/packages/http-client/src/idle_limited_agent.ts
@@ -1,14 +1,65 @@
 import {Agent} from 'node:http';
-import type {ClientRequest, IncomingMessage} from 'node:http';
+import type {AgentOptions, ClientRequest, IncomingMessage} from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {Socket} from 'node:net';
 import {idleLimitMs} from './idle_limit_ms.js';
 
-/** Keeps connections for reuse, and closes idle ones before their server does. */
+interface IdleLimitedAgentOptions extends Omit<AgentOptions, 'scheduling'> {
+  /**
+   * Monotonic time in milliseconds.
+   * @default performance.now
+   */
+  readonly now?: () => number;
+}
+
+interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/**
+ * Milliseconds that a connection may have lain idle for a request that must not
+ * be repeated. A server may close an idle connection at any time and without a
+ * word; whether the request ran is not known then.
+ */
+const UNREPEATABLE_IDLE_MS = 500;
+
+/**
+ * Keeps connections for reuse, and closes idle ones before their server does.
+ * The connection that was used last is reused first.
+ */
 export class IdleLimitedAgent extends Agent {
+  private readonly now: () => number;
+  /** Time in milliseconds since which each connection lies idle. */
+  private readonly idleSince = new WeakMap<Duplex, number>();
   /** `Keep-Alive` header of the last response on each connection. */
   private readonly hints = new WeakMap<Duplex, string | undefined>();
 
+  constructor({now, ...options}: IdleLimitedAgentOptions = {}) {
+    super({...options, keepAlive: true, scheduling: 'lifo'});
+    this.now = now ?? (() => performance.now());
+  }
+
+  /**
+   * Makes the next request to an address take a new connection, unless one was
+   * in use moments ago.
+   */
+  prepareUnrepeatable(address: Address): void {
+    const newest = this.idleConnections(address).at(-1);
+    const idleSince = newest && this.idleSince.get(newest);
+    if (idleSince === undefined) return;
+    if (this.now() - idleSince > UNREPEATABLE_IDLE_MS) this.closeIdle(address);
+  }
+
+  /** Closes the idle connections to an address. */
+  closeIdle(address: Address): void {
+    this.idleConnections(address).forEach(socket => socket.destroy());
+  }
+
+  private idleConnections(address: Address): readonly Socket[] {
+    return this.freeSockets[this.getName(address)] ?? [];
+  }
+
   /** Notes what a response says of how long its connection is kept. */
   recordResponse({socket, headers}: IncomingMessage): void {
     const hint = headers['keep-alive'];
@@ -19,6 +70,7 @@
     const isKept = Boolean(super.keepSocketAlive(stream));
     const limitMs = idleLimitMs(this.hints.get(stream));
     (stream as Socket).setTimeout(limitMs);
+    this.idleSince.set(stream, this.now());
     return isKept && limitMs > 0;
   }
 
--- a/packages/http-client/src/open_exchange.ts
+++ b/packages/http-client/src/open_exchange.ts
@@ -7,10 +7,7 @@
 import {IdleLimitedAgent} from './idle_limited_agent.js';
 import {setConnectTimeout} from './set_connect_timeout.js';
 
-const keepAliveAgent = new IdleLimitedAgent({
-  keepAlive: true,
-  maxSockets: 512,
-});
+const keepAliveAgent = new IdleLimitedAgent({maxSockets: 512});
 
 /** Milliseconds within which a connection must be established. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -34,6 +31,10 @@
   return new Promise(resolve => {
     const {body} = options;
     const length = body === undefined ? 0 : Buffer.byteLength(body);
+    if (options.isRepeatable === false) {
+      const {hostname: host, port} = new URL(options.baseUrl);
+      keepAliveAgent.prepareUnrepeatable({host, port: Number(port)});
+    }
     const req = request(`${options.baseUrl}${options.path}`, {
       method: options.method,
       headers: {...options.headers, 'content-length': length},
--- a/packages/plain-service/src/create_plain_service_client.ts
+++ b/packages/plain-service/src/create_plain_service_client.ts
@@ -18,6 +18,9 @@
 
 const HEALTH_CHECK_TIMEOUT_MS = 500;
 
+/** Methods that change nothing, so a request may be sent again. */
+const SAFE_METHODS = ['GET', 'HEAD', 'OPTIONS'];
+
 /** Creates a client of the plain service at a base URL. */
 export function createPlainServiceClient(baseUrl: string): PlainServiceClient {
   return {
@@ -35,6 +38,7 @@
         },
         body: req.body,
         timeoutMs: req.timeoutMs,
+        isRepeatable: SAFE_METHODS.includes(req.method),
       });
       if (response.isOk()) return ok(response.value);
       const {type, message} = response.error;
