--- a/packages/gateway/src/core/suspect_part_list.ts
+++ b/packages/gateway/src/core/suspect_part_list.ts
@@ -1,4 +1,4 @@
-import {suspectParts} from '@figfall/decisions';
+import {serverProcessId, suspectParts} from '@figfall/decisions';
 import type {BackendServer, SuspectChange} from '@figfall/decisions';
 import type {CallSpec} from '../calls/call_spec.js';
 import {RecentKeys} from './recent_keys.js';
@@ -67,14 +67,10 @@
   }
 
   /** Records the loss of a server that had a request for `heldMs`. */
-  recordLoss(
-    spec: CallSpec,
-    {id, processStartedAt}: BackendServer,
-    heldMs: number,
-  ): void {
+  recordLoss(spec: CallSpec, server: BackendServer, heldMs: number): void {
     const parts = partsOf(spec).filter(part => !this.answered.has(part));
     if (parts.length === 0) return;
-    const serverId = `${id}@${processStartedAt ?? ''}`;
+    const serverId = serverProcessId(server);
     const change = {type: 'server-lost', serverId, parts, heldMs} as const;
     this.options.applyAndAnnounce(change);
   }
--- a/packages/gateway/src/ports/backend_client.ts
+++ b/packages/gateway/src/ports/backend_client.ts
@@ -35,6 +35,9 @@
   ) => Promise<void>;
   /** True if a server answers a question about its state in time. */
   readonly isResponding: (server: BackendServer) => Promise<boolean>;
-  /** Closes idle connections to servers that are not in the list. */
+  /**
+   * Closes idle connections to servers that are no longer in the list, or whose
+   * process is another one.
+   */
   readonly pruneConnections: (servers: readonly BackendServer[]) => void;
 }
