feat(backends): count new, reused and stale connections; log how long one lay idle

Change: `figfall_backend_connections_total{use}` counts connections by `new`, `reused` and `stale` (reused and lost without a response), and `attempt ended` has `idleMs` for a reused one.

--- a/packages/gateway/src/calls/call_observer.ts
+++ b/packages/gateway/src/calls/call_observer.ts
@@ -21,4 +21,6 @@
   readonly reason: string;
   /** True if the attempt had delivered events of a stream. */
   readonly hadEvents: boolean;
+  /** Milliseconds that a reused connection had lain idle before. */
+  readonly idleMs?: number;
 }
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -140,9 +140,9 @@
     },
     end: (_event, attemptId) => this.done(attemptId),
     response: ({head, body}, attemptId) => this.receive(head, body, attemptId),
-    failed: ({reason}, attemptId) => {
+    failed: ({reason, idleMs}, attemptId) => {
       this.recordOutcome('failed');
-      this.failAttempt('backend-lost', reason, attemptId);
+      this.failAttempt('backend-lost', reason, attemptId, idleMs);
     },
   };
 
@@ -168,8 +168,9 @@
     kind: 'backend-lost' | 'backend-error',
     reason: string,
     attemptId: string,
+    idleMs?: number,
   ): void {
-    this.reportAttemptEnd('failed', reason);
+    this.reportAttemptEnd('failed', reason, idleMs);
     const failure = createFailure(kind, reason);
     this.step({type: 'failed', attemptId, failure, crashed: false});
   }
@@ -187,11 +188,16 @@
     if (agentId) this.ctx.fleet.recordOutcome(agentId, outcome);
   }
 
-  private reportAttemptEnd(result: string, reason: string): void {
+  private reportAttemptEnd(
+    result: string,
+    reason: string,
+    idleMs?: number,
+  ): void {
     const {spec, observer} = this.ctx;
     const {agentId: serverId = ''} = this.state;
     const hadEvents = this.attempt?.hasEvents() ?? false;
-    observer.onAttemptEnded(spec, {serverId, result, reason, hadEvents});
+    const end = {serverId, result, reason, hadEvents, idleMs};
+    observer.onAttemptEnded(spec, end);
   }
 
   private endAttempt(): void {
--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -65,6 +65,7 @@
         logger.info('attempt ended', {
           requestId: req.requestId,
           ...attempt,
+          idleMs: attempt.idleMs && Math.round(attempt.idleMs),
           sharedParts: req.prompt?.sharedParts.join(' '),
         }),
     },
--- a/packages/gateway/src/core/create_gateway_metrics.ts
+++ b/packages/gateway/src/core/create_gateway_metrics.ts
@@ -36,6 +36,12 @@
       buckets: SECONDS_BUCKETS,
       registers,
     }),
+    backendConnections: new Counter({
+      name: 'figfall_backend_connections_total',
+      help: 'Connections that requests were written to: new, reused, or reused and then lost without a response (stale).',
+      labelNames: ['use'],
+      registers,
+    }),
     configVersion: new Gauge({
       name: 'figfall_config_version',
       help: 'Version of the configuration in force.',
--- a/packages/gateway/src/ports/backend_event.ts
+++ b/packages/gateway/src/ports/backend_event.ts
@@ -42,4 +42,6 @@
       /** The attempt ended without a complete response, and may have run. */
       readonly type: 'failed';
       readonly reason: string;
+      /** Milliseconds that a reused connection had lain idle before. */
+      readonly idleMs?: number;
     };
--- a/packages/http-client/src/idle_limited_agent.ts
+++ b/packages/http-client/src/idle_limited_agent.ts
@@ -32,6 +32,8 @@
   private readonly now: () => number;
   /** Time in milliseconds since which each connection lies idle. */
   private readonly idleSince = new WeakMap<Duplex, number>();
+  /** Milliseconds that the connection of a request had lain idle before it. */
+  private readonly idleMsByRequest = new WeakMap<ClientRequest, number>();
   /** `Keep-Alive` header of the last response on each connection. */
   private readonly hints = new WeakMap<Duplex, string | undefined>();
 
@@ -60,6 +62,14 @@
     return this.freeSockets[this.getName(address)] ?? [];
   }
 
+  /**
+   * Milliseconds that the connection of a request had lain idle before it;
+   * undefined for a new connection.
+   */
+  idleMs(req: ClientRequest): number | undefined {
+    return this.idleMsByRequest.get(req);
+  }
+
   /** Notes what a response says of how long its connection is kept. */
   recordResponse({socket, headers}: IncomingMessage): void {
     const hint = headers['keep-alive'];
@@ -76,6 +86,9 @@
 
   override reuseSocket(stream: Duplex, req: ClientRequest): void {
     (stream as Socket).setTimeout(0);
+    const now = this.now();
+    const idleMs = now - (this.idleSince.get(stream) ?? now);
+    this.idleMsByRequest.set(req, idleMs);
     super.reuseSocket(stream, req);
   }
 }
