test(soak): prompts without the part that crashes servers are not refused with it

Change: from 6 s after the fifth crash, while prompts with the part still come, at most half of 20 or more prompts without it may be refused with 422. The bound is the rule's. A unit test shows when it is a violation.

--- a/playground/src/__tests__/check_invariants.test.ts
+++ b/playground/src/__tests__/check_invariants.test.ts
@@ -46,6 +46,7 @@
     ['r4', 'g'],
     ['r5', 'other'],
   ]),
+  sentAtByRequestId: new Map(),
   gatewayDisruptions: [],
   drains: [],
   disruptions: [],
@@ -184,6 +185,33 @@
   ).toEqual([]);
 });
 
+test('prompts without the part that crashes servers must not be refused with it', () => {
+  const promptCrashes = [0, 10, 20, 30, 40].map(at => ({part: 'p', at}));
+  const prompts = (count: number, refused: number) =>
+    Array.from({length: count}, (_, i) => ({
+      ...OUTCOME,
+      requestId: `s${i}`,
+      kind: 'stream' as const,
+      status: i < refused ? 422 : 503,
+    }));
+  const violatedBy = (at: number, outcomes: readonly CallerOutcome[]) =>
+    violated({
+      promptCrashes,
+      outcomes,
+      executions: [],
+      crashingPartByRequestId: new Map([['c1', 'p']]),
+      sentAtByRequestId: new Map([
+        ['c1', 9_000],
+        ...outcomes.map(({requestId}) => [requestId, at] as const),
+      ]),
+    });
+  expect(violatedBy(6_041, prompts(20, 11))).toEqual(['refused-sound-prompts']);
+  expect(violatedBy(6_041, prompts(20, 10))).toEqual([]);
+  expect(violatedBy(6_041, prompts(19, 19))).toEqual([]);
+  expect(violatedBy(6_039, prompts(20, 20))).toEqual([]);
+  expect(violatedBy(9_001, prompts(20, 20))).toEqual([]);
+});
+
 test('exits, final requests and leaked reservations are checked', () => {
   const stop = {gateway: 'g', durationMs: 100, exitCode: 0};
   expect(violated({stops: [stop]})).toEqual([]);
--- a/playground/src/soak/check_invariants.ts
+++ b/playground/src/soak/check_invariants.ts
@@ -3,6 +3,7 @@
   RequestExecution,
 } from '@figfall/gateway-server/testing';
 import {checkCrashingPrompts} from './check_crashing_prompts.js';
+import {checkSoundPrompts} from './check_sound_prompts.js';
 import {checkServerNotices} from './check_server_notices.js';
 import {DRAIN_LIMIT_MS} from './drain_limit_ms.js';
 import type {SoakObservations} from './soak_observations.js';
@@ -159,6 +160,7 @@
   checkDrains,
   checkServerNotices,
   checkCrashingPrompts,
+  checkSoundPrompts,
   checkStops,
   checkExits,
   checkFinalRequests,
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -226,6 +226,7 @@
     arrivals: deployment.arrivals,
     noticeResponses: deployment.noticeResponses,
     gatewayByRequestId: callers.gatewayByRequestId,
+    sentAtByRequestId: callers.sentAtByRequestId,
     gatewayDisruptions: injector.gatewayDisruptions,
     promptCrashes: crashing.crashes,
     crashingPartByRequestId: crashing.partByRequestId,
--- a/playground/src/soak/soak_callers.ts
+++ b/playground/src/soak/soak_callers.ts
@@ -52,6 +52,8 @@
 export class SoakCallers {
   readonly outcomes: CallerOutcome[] = [];
   readonly gatewayByRequestId = new Map<string, string>();
+  /** Monotonic time in milliseconds at which each request was sent. */
+  readonly sentAtByRequestId = new Map<string, number>();
   private readonly random: () => number;
   private isStopped = false;
   private sentCount = 0;
@@ -127,6 +129,7 @@
     this.sentCount += 1;
     const requestId = `r${this.options.seed}-${this.sentCount}`;
     this.gatewayByRequestId.set(requestId, gateway.name);
+    this.sentAtByRequestId.set(requestId, performance.now());
     if (request.crashingPart) {
       const {crashingPartByRequestId} = this.options;
       crashingPartByRequestId.set(requestId, request.crashingPart);
--- a/playground/src/soak/soak_observations.ts
+++ b/playground/src/soak/soak_observations.ts
@@ -20,6 +20,8 @@
   /** Responses in which backend servers said something of themselves. */
   readonly noticeResponses: readonly NoticeResponse[];
   readonly gatewayByRequestId: ReadonlyMap<string, string>;
+  /** Monotonic time in milliseconds at which each request was sent. */
+  readonly sentAtByRequestId: ReadonlyMap<string, number>;
   /** Spans in which a gateway was paused or down. */
   readonly gatewayDisruptions: readonly (TimeSpan & {
     readonly gateway: string;
