--- /dev/null
+++ b/packages/decisions/src/__tests__/response_tokens.ts
@@ -0,0 +1,2 @@
+/** Tokens of each complete response of the simulated cluster. */
+export const RESPONSE_TOKENS = 3;
