--- a/packages/cli/src/commands/open_record_store.ts
+++ b/packages/cli/src/commands/open_record_store.ts
@@ -4,7 +4,6 @@
 import type {Invocation} from './invocation.js';
 
 const PLATFORM_TIMEOUT_MS = 5_000;
-const PLATFORM_WATCH_MS = 1_000;
 
 /** Creates the platform client and the record store of an operator's command. */
 export function openRecordStore({flags, env}: Invocation) {
@@ -12,7 +11,6 @@
     const platform = createPlatformClient({
       baseUrl: platformUrl,
       timeoutMs: PLATFORM_TIMEOUT_MS,
-      watchMs: PLATFORM_WATCH_MS,
     });
     return {platform, store: createRecordStore(platform)};
   });
--- a/packages/figfall/src/agent/__tests__/ledger_sweeper.test.ts
+++ b/packages/figfall/src/agent/__tests__/ledger_sweeper.test.ts
@@ -14,7 +14,6 @@
   const platform = createPlatformClient({
     baseUrl: fakePlatform.baseUrl,
     timeoutMs: 1_000,
-    watchMs: 1_000,
   });
   try {
     const oldest = NOW - RETENTION_MS - RETENTION_MARGIN_MS;
--- a/packages/figfall/src/node/create_node_context.ts
+++ b/packages/figfall/src/node/create_node_context.ts
@@ -7,12 +7,7 @@
 import {loadHash} from './load_hash.js';
 import type {NodeContext} from './node_context.js';
 import type {NodeSettings} from './node_settings.js';
-
-/** Milliseconds after which a call to the platform fails. */
-const PLATFORM_TIMEOUT_MS = 1_000;
-
-/** Milliseconds that one watch request may wait for changes. */
-const PLATFORM_WATCH_MS = 20_000;
+import {PLATFORM_TIMEOUT_MS} from './platform_timeout_ms.js';
 
 /** Creates the context of a node; `incarnation` is new for each process. */
 export async function createNodeContext(
@@ -24,7 +19,6 @@
   const platform = createPlatformClient({
     baseUrl: settings.platformUrl,
     timeoutMs: PLATFORM_TIMEOUT_MS,
-    watchMs: PLATFORM_WATCH_MS,
   });
   return {
     settings,
--- a/packages/platform/src/__tests__/create_platform_client.test.ts
+++ b/packages/platform/src/__tests__/create_platform_client.test.ts
@@ -13,7 +13,6 @@
   const client = createPlatformClient({
     baseUrl: `http://127.0.0.1:${port}`,
     timeoutMs: 1_000,
-    watchMs: 1_000,
   });
   const written = await client.put('key', '{}', 3);
   server.closeAllConnections();
--- a/packages/platform/src/create_platform_client.ts
+++ b/packages/platform/src/create_platform_client.ts
@@ -103,11 +103,11 @@
         path: objectPath(key),
         headers: versionCondition(expectedVersion),
       }),
-    watch: (prefix, sinceRevision, signal) =>
+    watch: (prefix, sinceRevision, {waitMs, signal}) =>
       send<PlatformObjectList>({
         method: 'GET',
-        path: `/v1/watch?prefix=${encodeURIComponent(prefix)}&since=${sinceRevision}&wait_ms=${options.watchMs}`,
-        timeoutMs: options.watchMs + options.timeoutMs,
+        path: `/v1/watch?prefix=${encodeURIComponent(prefix)}&since=${sinceRevision}&wait_ms=${waitMs}`,
+        timeoutMs: waitMs + options.timeoutMs,
         signal,
       }),
     instances: async () => {
--- a/packages/platform/src/platform_client.ts
+++ b/packages/platform/src/platform_client.ts
@@ -28,13 +28,13 @@
     expectedVersion: number,
   ) => PlatformResponse<void>;
   /**
-   * Waits for changes under a prefix after a revision, for `watchMs` at most,
-   * and returns the changed objects.
+   * Waits for changes under a prefix after a revision, for `waitMs` milliseconds
+   * at most, and returns the changed objects.
    */
   readonly watch: (
     prefix: string,
     sinceRevision: number,
-    signal: AbortSignal,
+    options: {readonly waitMs: number; readonly signal: AbortSignal},
   ) => PlatformResponse<PlatformObjectList>;
   /** Lists the instances of the deployment. */
   readonly instances: () => PlatformResponse<readonly Instance[]>;
--- a/packages/platform/src/platform_client_options.ts
+++ b/packages/platform/src/platform_client_options.ts
@@ -4,6 +4,4 @@
   readonly baseUrl: string;
   /** Time in milliseconds after which a call fails as `lost`. */
   readonly timeoutMs: number;
-  /** Longest time in milliseconds that a watch waits for changes. */
-  readonly watchMs: number;
 }
--- a/playground/src/demo/run_demo.ts
+++ b/playground/src/demo/run_demo.ts
@@ -107,7 +107,6 @@
   const platform = createPlatformClient({
     baseUrl: target.platformUrl,
     timeoutMs: PLATFORM_TIMEOUT_MS,
-    watchMs: PLATFORM_TIMEOUT_MS,
   });
   const status = await readStatus(platform, Date.now());
   return status.isOk() ? status.value.sentences : [status.error];
--- a/playground/src/deployment/apply_records.ts
+++ b/playground/src/deployment/apply_records.ts
@@ -2,7 +2,6 @@
 import {createPlatformClient} from '@figfall/platform';
 
 const PLATFORM_TIMEOUT_MS = 2_000;
-const WATCH_MS = 1_000;
 
 /**
  * Writes records through the operator's code path, replacing the stored
@@ -15,7 +14,6 @@
   const platform = createPlatformClient({
     baseUrl,
     timeoutMs: PLATFORM_TIMEOUT_MS,
-    watchMs: WATCH_MS,
   });
   const store = createRecordStore(platform);
   for (const raw of records) {
