--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -142,7 +142,7 @@
         headers: req.headers,
         body: req.body,
         workspace: spec.workspace,
-        isRepeatable: spec.idempotent,
+        idempotent: spec.idempotent,
         timeoutMs: Math.max(1, Math.floor(spec.deadlineAt - now())),
         lastEventId,
         helpers,
--- a/packages/gateway/src/ports/backend_request.ts
+++ b/packages/gateway/src/ports/backend_request.ts
@@ -20,7 +20,7 @@
   readonly body: Buffer;
   readonly workspace?: string;
   /** False if the request must not run twice. */
-  readonly isRepeatable: boolean;
+  readonly idempotent: boolean;
   /** Milliseconds left until the response must be complete; at least 1. */
   readonly timeoutMs: number;
   /** Id of the last event that the caller has, if a stream is resumed. */
--- a/packages/http-client/src/http_request.ts
+++ b/packages/http-client/src/http_request.ts
@@ -17,10 +17,10 @@
   readonly maxBodyBytes?: number;
   /**
    * False if the request must not run twice; it then takes no connection that
-   * has lain idle.
+   * has lain idle for long.
    * @default true
    */
-  readonly isRepeatable?: boolean;
+  readonly idempotent?: boolean;
   /** Aborts the exchange. */
   readonly signal?: AbortSignal;
   /**
--- a/packages/http-client/src/idle_limit_ms.ts
+++ b/packages/http-client/src/idle_limit_ms.ts
@@ -4,9 +4,9 @@
 const TIMEOUT_HINT = /(?:^|[\s,])timeout=(\d+)/;
 
 /**
- * Milliseconds for which a connection may lie idle, by the `Keep-Alive` header
- * of its last response, and `maxMs` at most; 0 if it must not be used again. A request that is sent
- * as the server closes may or may not have run.
+ * Milliseconds for which a connection may lie idle: by the `Keep-Alive` header
+ * of its last response, and `maxMs` at most; 0 if it must not be used again. A
+ * request that is sent as the server closes may or may not have run.
  */
 export function idleLimitMs(
   keepAlive: string | undefined,
--- a/packages/http-client/src/idle_limited_agent.ts
+++ b/packages/http-client/src/idle_limited_agent.ts
@@ -23,11 +23,11 @@
 }
 
 /**
- * Milliseconds that a connection may have lain idle for a request that must not
- * be repeated. A server may close an idle connection at any time and without a
- * word; whether the request ran is not known then.
+ * Longest time in milliseconds that a connection may have lain idle for a
+ * request that is not idempotent. A server may close an idle connection at any
+ * time and without a word; whether the request ran is not known then.
  */
-const UNREPEATABLE_IDLE_MS = 500;
+const NON_IDEMPOTENT_IDLE_MS = 500;
 
 /** Below the 5 s after which common servers close an idle connection. */
 const DEFAULT_MAX_IDLE_MS = 4_000;
@@ -53,14 +53,15 @@
   }
 
   /**
-   * Makes the next request to an address take a new connection, unless one was
-   * in use moments ago.
+   * Called before a request that is not idempotent: makes it take a new
+   * connection, unless one to the address was in use moments ago.
    */
-  prepareUnrepeatable(address: Address): void {
+  prepareNonIdempotent(address: Address): void {
     const newest = this.idleConnections(address).at(-1);
     const idleSince = newest && this.idleSince.get(newest);
     if (idleSince === undefined) return;
-    if (this.now() - idleSince > UNREPEATABLE_IDLE_MS) this.closeIdle(address);
+    if (this.now() - idleSince > NON_IDEMPOTENT_IDLE_MS)
+      this.closeIdle(address);
   }
 
   /** Closes the idle connections to an address. */
--- a/packages/http-client/src/open_exchange.ts
+++ b/packages/http-client/src/open_exchange.ts
@@ -31,9 +31,9 @@
   return new Promise(resolve => {
     const {body} = options;
     const length = body === undefined ? 0 : Buffer.byteLength(body);
-    if (options.isRepeatable === false) {
+    if (options.idempotent === false) {
       const {hostname: host, port} = new URL(options.baseUrl);
-      keepAliveAgent.prepareUnrepeatable({host, port: Number(port)});
+      keepAliveAgent.prepareNonIdempotent({host, port: Number(port)});
     }
     const req = request(`${options.baseUrl}${options.path}`, {
       method: options.method,
--- a/packages/plain-service/src/create_plain_service_client.ts
+++ b/packages/plain-service/src/create_plain_service_client.ts
@@ -38,7 +38,7 @@
         },
         body: req.body,
         timeoutMs: req.timeoutMs,
-        isRepeatable: SAFE_METHODS.includes(req.method),
+        idempotent: SAFE_METHODS.includes(req.method),
       });
       if (response.isOk()) return ok(response.value);
       const {type, message} = response.error;
