--- a/playground/src/soak/check_crashing_prompts.ts
+++ b/playground/src/soak/check_crashing_prompts.ts
@@ -1,8 +1,6 @@
+import {KNOWN_AFTER_CRASHES} from './known_after_crashes.js';
 import type {SoakObservations} from './soak_observations.js';
 
-/** Crashes after which a part has to be known to all gateways. */
-const KNOWN_AFTER_CRASHES = 5;
-
 /** Time after the last of these crashes from which the limit applies. */
 const CONTACT_TIMEOUT_MS = 3_000;
 
