--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -4,6 +4,7 @@
 import {checkInvariants} from './check_invariants.js';
 import {CrashingPrompts} from './crashing_prompts.js';
 import {planSoakActions} from './plan_soak_actions.js';
+import {sendFinalRequests} from './send_final_requests.js';
 import {SoakCallers} from './soak_callers.js';
 import type {SoakObservations} from './soak_observations.js';
 import {SoakFaultInjector} from './soak_fault_injector.js';
@@ -41,7 +42,6 @@
 }
 
 type Deployment = Awaited<ReturnType<typeof startSoakDeployment>>;
-type FinalRequests = SoakObservations['finalRequests'];
 
 /** Time limit for all gateways to serve after the start or the last fault. */
 const RECOVERY_LIMIT_MS = 15_000;
@@ -57,33 +57,6 @@
 
 const POLL_INTERVAL_MS = 200;
 
-const FINAL_REQUESTS = [
-  {
-    description: 'a stream',
-    kind: 'stream',
-    credentials: undefined,
-    expectedStatus: 200,
-  },
-  {
-    description: 'a read',
-    kind: 'read',
-    credentials: undefined,
-    expectedStatus: 200,
-  },
-  {
-    description: 'a booking',
-    kind: 'book',
-    credentials: undefined,
-    expectedStatus: 200,
-  },
-  {
-    description: 'an unknown API key',
-    kind: 'read',
-    credentials: {workspace: '', apiKey: 'nobody'},
-    expectedStatus: 401,
-  },
-] as const;
-
 /** Resolves when a condition holds or a time limit has passed. */
 async function pollUntil(
   condition: () => Promise<boolean> | boolean,
@@ -108,35 +81,6 @@
   return outcomes.every(({status}) => status === 200);
 }
 
-/**
- * Sends a request of each kind to each gateway, without faults. Takes one
- * gateway at a time, since the long prompts of all of them fill the KV caches.
- */
-async function sendFinalRequests(
-  callers: SoakCallers,
-  {gateways}: Deployment,
-): Promise<FinalRequests> {
-  const agent = new Agent();
-  const sent: FinalRequests[] = [];
-  for (const [gateway, {name}] of gateways.entries()) {
-    sent.push(
-      await Promise.all(
-        FINAL_REQUESTS.map(
-          async ({description, kind, credentials, expectedStatus}) => {
-            const {status} = await callers.send(agent, {
-              gateway,
-              kind,
-              credentials,
-            });
-            return {gateway: name, description, expectedStatus, status};
-          },
-        ),
-      ),
-    );
-  }
-  return sent.flat();
-}
-
 function heldReservationIds({servers}: Deployment): readonly string[] {
   return servers.flatMap(({backend}) => backend.reservations.reservationIds());
 }
@@ -212,7 +156,7 @@
   await sleep(SETTLE_MS);
   callers.stop();
   await callersDone;
-  const finalRequests = await sendFinalRequests(callers, deployment);
+  const finalRequests = await sendFinalRequests(callers, deployment.gateways);
   await pollUntil(
     () => heldReservationIds(deployment).length === 0,
     RESERVATION_LIMIT_MS,
