fix(gateway): an objection to a blocked part reaches gateways linked later

Cause: gateway-2, up for 0.2 s, blocked `rules`, which all prompts share, and told the others. gateway-1 had seen answers and objected, but its own link to gateway-2 opened 0.26 s later, so the objection went nowhere, and nothing repeats it. gateway-0 learned of the block when it was restarted.

Evidence: kept logs: `prompt part blocked` model/rules at gateway-2 at 23.341, `entry linked` at gateway-1 at 23.597, no `prompt part released`.

Change: objections are kept for as long as an answer counts, 1,024 at most, and are among what a newly linked gateway is told.

--- a/packages/gateway/src/core/suspect_part_list.ts
+++ b/packages/gateway/src/core/suspect_part_list.ts
@@ -25,6 +25,9 @@
 /** Milliseconds for which a part that was answered is above suspicion. */
 const ANSWERED_TTL_MS = 60_000;
 
+/** Objections that are kept for gateways which are linked later. */
+const OBJECTIONS_MAX = 1_024;
+
 /** Shared parts of a prompt, told apart by the service that runs it. */
 function partsOf({req, service}: CallSpec): readonly string[] {
   const parts = req.prompt?.sharedParts ?? [];
@@ -35,6 +38,8 @@
 export class SuspectPartList {
   private parts = suspectParts.empty();
   private readonly answered: RecentKeys;
+  /** Parts that others suspected although they had been answered. */
+  private objections: readonly string[] = [];
   /** Blocked parts, as last reported to `onPartBlocked`. */
   private reported: readonly string[] = [];
 
@@ -95,12 +100,16 @@
   /** What a newly linked gateway should know. */
   changesForNewPeer(): readonly PartChange[] {
     const now = this.options.now();
-    return suspectParts.blocked(this.parts).flatMap(part => {
+    const parts = this.objections.filter(part => this.answered.has(part));
+    const objection = {type: 'parts-answered', parts} as const;
+    const blocked = suspectParts.blocked(this.parts).flatMap(part => {
       const suspect = this.parts.get(part);
       if (!suspect) return [];
       const {trials, updatedAt} = suspect;
-      return [{type: 'part-blocked', part, trials, ageMs: now - updatedAt}];
+      const ageMs = now - updatedAt;
+      return [{type: 'part-blocked' as const, part, trials, ageMs}];
     });
+    return parts.length > 0 ? [...blocked, objection] : blocked;
   }
 
   /** Number of parts whose prompts are refused. */
@@ -110,6 +119,7 @@
 
   removeExpired(): void {
     this.parts = suspectParts.removeExpired(this.parts, this.options.now());
+    this.objections = this.objections.filter(part => this.answered.has(part));
     this.reportBlocked();
   }
 
@@ -131,7 +141,10 @@
     applyAndAnnounce({type: 'part-blocked', part, trials: 0, ageMs: 0});
   }
 
+  /** Objects to a suspicion, also to gateways that are linked later. */
   private announceAnswered(parts: readonly string[]): void {
+    const all = new Set([...this.objections, ...parts]);
+    this.objections = [...all].slice(-OBJECTIONS_MAX);
     this.options.applyAndAnnounce({type: 'parts-answered', parts});
   }
 
