fix(soak): the check of sound prompts reads the answer's kind

The check `refused-sound-prompts` counted status 422, but a gateway answers a suspect prompt with 503, so it never found anything.

--- a/playground/src/__tests__/check_invariants.test.ts
+++ b/playground/src/__tests__/check_invariants.test.ts
@@ -192,7 +192,8 @@
       ...OUTCOME,
       requestId: `s${i}`,
       kind: 'stream' as const,
-      status: i < refused ? 422 : 503,
+      status: 503,
+      responseBody: `{"error":{"kind":"${i < refused ? 'suspect-request' : 'queue-full'}"}}`,
     }));
   const violatedBy = (at: number, outcomes: readonly CallerOutcome[]) =>
     violated({
--- a/playground/src/soak/check_sound_prompts.ts
+++ b/playground/src/soak/check_sound_prompts.ts
@@ -10,8 +10,8 @@
 /** Share of the sound prompts that may be refused as suspects. */
 const REFUSED_SHARE_MAX = 0.5;
 
-/** Status of a prompt that is refused because servers may crash under it. */
-const SUSPECT_STATUS = 422;
+/** In the answer to a prompt that is refused since servers may crash under it. */
+const SUSPECT_KIND = '"suspect-request"';
 
 type Observations = Pick<
   SoakObservations,
@@ -51,7 +51,9 @@
         const sentAt = sentAtByRequestId.get(requestId) ?? -Infinity;
         return sentAt > from && sentAt < to;
       });
-    const refused = sound.filter(({status}) => status === SUSPECT_STATUS);
+    const refused = sound.filter(({responseBody}) =>
+      responseBody.includes(SUSPECT_KIND),
+    );
     const isSound =
       sound.length < PROMPTS_MIN ||
       refused.length <= sound.length * REFUSED_SHARE_MAX;
