refactor(gateway): the work at servers and what an attempt receives get files of their own

FleetWork keeps the work of all gateways at the servers and announces this one's; AttemptReceiver turns what a server sends into events of the call's state machine.

--- a/packages/gateway/src/__tests__/silent_long_prompts.test.ts
+++ b/packages/gateway/src/__tests__/silent_long_prompts.test.ts
@@ -65,7 +65,7 @@
   const silentId = fixture.attempts[0]?.req.server.id;
   const others = serverIds.filter(id => id !== silentId);
   others.forEach(serverId =>
-    fixture.fleet.startWork({
+    fixture.fleet.work.start({
       ...{workId: `other@${serverId}`, serverId, prefillMs: 5_000},
       ...{pauseMs: 250, worth: 1, memoryTokens: 100, decodes: false},
     }),
--- /dev/null
+++ b/packages/gateway/src/calls/attempt_receiver.ts
@@ -0,0 +1,108 @@
+import {createFailure} from '@figfall/decisions';
+import type {CallEvent, CallState} from '@figfall/decisions';
+import {GATEWAY} from '../constants.js';
+import type {BackendEvent} from '../ports/backend_event.js';
+import type {ResponseHead} from '../ports/response_head.js';
+import type {BackendAttempt} from './backend_attempt.js';
+import type {BackendEventHandlers} from './backend_event_handlers.js';
+import type {CallResponse} from './call_response.js';
+import type {GatewayCallContext} from './gateway_call_context.js';
+import {handleBackendEvent} from './handle_backend_event.js';
+
+interface AttemptReceiverOptions {
+  readonly ctx: GatewayCallContext;
+  readonly state: () => CallState;
+  readonly response: CallResponse;
+  /** The call's current attempt. */
+  readonly attempt: () => BackendAttempt | undefined;
+  /** Passes an event to the call's state machine. */
+  readonly step: (event: CallEvent) => void;
+}
+
+/**
+ * Turns what the server of a call's current attempt sends into events of the
+ * call's state machine, and records what it tells of the server.
+ */
+export class AttemptReceiver {
+  constructor(private readonly options: AttemptReceiverOptions) {}
+
+  receive(event: BackendEvent, attemptId: string): void {
+    handleBackendEvent(this.handlers, event, attemptId);
+  }
+
+  private readonly handlers: BackendEventHandlers = {
+    sent: (_event, attemptId) =>
+      this.options.step({type: 'accepted', attemptId}),
+    refused: ({failure, unreachable, faultyAddress}, attemptId) => {
+      if (unreachable) this.recordOutcome('unreachable');
+      const {fleet} = this.options.ctx;
+      if (faultyAddress) fleet.recordUnreachable(faultyAddress);
+      this.reportEnd('refused', failure.message);
+      this.options.step({type: 'refused', attemptId, failure});
+    },
+    head: ({head}) => this.options.response.setStreamHead(head),
+    events: ({firstId, texts}, attemptId) => {
+      const {attempt, response, step} = this.options;
+      if (attempt()?.markPrefilled()) this.recordOutcome('answered');
+      const index = response.indexOf(firstId);
+      step({type: 'tokens', attemptId, index, texts});
+    },
+    end: (_event, attemptId) => this.done(attemptId),
+    response: ({head, body}, attemptId) =>
+      this.onResponse(head, body, attemptId),
+    failed: ({reason, idleMs}, attemptId) => {
+      this.recordOutcome('failed');
+      this.fail('backend-lost', reason, attemptId, idleMs);
+    },
+  };
+
+  private onResponse(
+    head: ResponseHead,
+    body: Buffer,
+    attemptId: string,
+  ): void {
+    const {status} = head;
+    const {ctx, response} = this.options;
+    const isError = status >= GATEWAY.ERROR_STATUS;
+    this.recordOutcome(isError ? 'failed' : 'answered');
+    if (!response.buffer(head, body)) {
+      const reason = `The backend server returned status ${status} instead of continuing the stream.`;
+      return this.fail('backend-error', reason, attemptId);
+    }
+    const mayRetry = isError && status !== GATEWAY.DEADLINE_EXCEEDED_STATUS;
+    if (!mayRetry || !ctx.spec.idempotent) return this.done(attemptId);
+    const reason = `The backend server returned status ${status}.`;
+    this.fail('backend-error', reason, attemptId);
+  }
+
+  private done(attemptId: string): void {
+    const {state, step} = this.options;
+    step({type: 'done', attemptId, count: state().nextIndex});
+  }
+
+  private fail(
+    kind: 'backend-lost' | 'backend-error',
+    reason: string,
+    attemptId: string,
+    idleMs?: number,
+  ): void {
+    this.reportEnd('failed', reason, idleMs);
+    const failure = createFailure(kind, reason);
+    this.options.step({type: 'failed', attemptId, failure, crashed: false});
+  }
+
+  private recordOutcome(outcome: 'answered' | 'failed' | 'unreachable'): void {
+    const {ctx, state} = this.options;
+    const {agentId} = state();
+    if (agentId) ctx.fleet.recordOutcome(agentId, outcome);
+  }
+
+  private reportEnd(result: string, reason: string, idleMs?: number): void {
+    const {ctx, state, attempt} = this.options;
+    const {observer, spec, now} = ctx;
+    const {agentId: serverId = '', lastReceivedAt} = state();
+    const silentMs = now() - lastReceivedAt;
+    const end = {serverId, result, reason, silentMs, idleMs};
+    observer.onAttemptEnded(spec, {...end, ...attempt()?.progress()});
+  }
+}
--- a/packages/gateway/src/calls/attempt_work.ts
+++ b/packages/gateway/src/calls/attempt_work.ts
@@ -53,7 +53,7 @@
     placement: PromptPlacement,
   ) {
     workItemsOf(spec, placement, attemptId).forEach(work => {
-      fleet.startWork(work);
+      fleet.work.start(work);
       this.ids.add(work.workId);
     });
   }
@@ -65,11 +65,13 @@
   markPrefilled(helpersHoldMemory: boolean): boolean {
     if (this.isPrefilled) return false;
     this.isPrefilled = true;
-    this.fleet.markPrefilled(this.attemptId);
+    this.fleet.work.markPrefilled(this.attemptId);
     [...this.ids]
       .filter(workId => workId !== this.attemptId)
       .forEach(workId =>
-        helpersHoldMemory ? this.fleet.markPrefilled(workId) : this.end(workId),
+        helpersHoldMemory
+          ? this.fleet.work.markPrefilled(workId)
+          : this.end(workId),
       );
     return true;
   }
@@ -85,6 +87,6 @@
 
   private end(workId: string): void {
     this.ids.delete(workId);
-    this.fleet.endWork(workId);
+    this.fleet.work.end(workId);
   }
 }
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -6,17 +6,14 @@
   CallOptions,
   CallState,
 } from '@figfall/decisions';
-import {GATEWAY} from '../constants.js';
 import type {Placement} from '../core/placement.js';
 import type {BackendEvent} from '../ports/backend_event.js';
-import type {ResponseHead} from '../ports/response_head.js';
+import {AttemptReceiver} from './attempt_receiver.js';
 import type {BackendAttempt} from './backend_attempt.js';
-import type {BackendEventHandlers} from './backend_event_handlers.js';
 import {CallAttempts} from './call_attempts.js';
 import {CallResponse} from './call_response.js';
 import {createCallOptions} from './create_call_options.js';
 import type {GatewayCallContext} from './gateway_call_context.js';
-import {handleBackendEvent} from './handle_backend_event.js';
 import {Hedging} from './hedging.js';
 import {isAnswer} from './is_answer.js';
 import {SILENCE_FAILURE} from './silence_failure.js';
@@ -26,6 +23,7 @@
 export class GatewayCall {
   private readonly response: CallResponse;
   private readonly attempts: CallAttempts;
+  private readonly receiver: AttemptReceiver;
   private readonly hedging: Hedging;
   private options: CallOptions;
   private state: CallState;
@@ -37,6 +35,13 @@
     const {spec, sink, now} = ctx;
     this.response = new CallResponse(sink, spec.req.lastEventId, now);
     this.attempts = new CallAttempts(ctx);
+    this.receiver = new AttemptReceiver({
+      ctx,
+      state: () => this.state,
+      response: this.response,
+      attempt: () => this.attempt,
+      step: event => this.step(event),
+    });
     this.hedging = new Hedging({
       ctx,
       attempts: this.attempts,
@@ -122,58 +127,7 @@
   private onBackendEvent(event: BackendEvent, attemptId: string): void {
     if (attemptId !== this.state.attemptId) return;
     if (isAnswer(event, this.state.nextIndex > 0)) this.hedging.end();
-    handleBackendEvent(this.backendEventHandlers, event, attemptId);
-  }
-
-  private readonly backendEventHandlers: BackendEventHandlers = {
-    sent: (_event, attemptId) => this.step({type: 'accepted', attemptId}),
-    refused: ({failure, unreachable, faultyAddress}, attemptId) => {
-      if (unreachable) this.recordOutcome('unreachable');
-      if (faultyAddress) this.ctx.fleet.recordUnreachable(faultyAddress);
-      this.reportAttemptEnd('refused', failure.message);
-      this.step({type: 'refused', attemptId, failure});
-    },
-    head: ({head}) => this.response.setStreamHead(head),
-    events: ({firstId, texts}, attemptId) => {
-      if (this.attempt?.markPrefilled()) this.recordOutcome('answered');
-      const index = this.response.indexOf(firstId);
-      this.step({type: 'tokens', attemptId, index, texts});
-    },
-    end: (_event, attemptId) => this.done(attemptId),
-    response: ({head, body}, attemptId) => this.receive(head, body, attemptId),
-    failed: ({reason, idleMs}, attemptId) => {
-      this.recordOutcome('failed');
-      this.failAttempt('backend-lost', reason, attemptId, idleMs);
-    },
-  };
-
-  private receive(head: ResponseHead, body: Buffer, attemptId: string): void {
-    const {status} = head;
-    const isError = status >= GATEWAY.ERROR_STATUS;
-    this.recordOutcome(isError ? 'failed' : 'answered');
-    if (!this.response.buffer(head, body)) {
-      const reason = `The backend server returned status ${status} instead of continuing the stream.`;
-      return this.failAttempt('backend-error', reason, attemptId);
-    }
-    const mayRetry = isError && status !== GATEWAY.DEADLINE_EXCEEDED_STATUS;
-    if (!mayRetry || !this.ctx.spec.idempotent) return this.done(attemptId);
-    const reason = `The backend server returned status ${status}.`;
-    this.failAttempt('backend-error', reason, attemptId);
-  }
-
-  private done(attemptId: string): void {
-    this.step({type: 'done', attemptId, count: this.state.nextIndex});
-  }
-
-  private failAttempt(
-    kind: 'backend-lost' | 'backend-error',
-    reason: string,
-    attemptId: string,
-    idleMs?: number,
-  ): void {
-    this.reportAttemptEnd('failed', reason, idleMs);
-    const failure = createFailure(kind, reason);
-    this.step({type: 'failed', attemptId, failure, crashed: false});
+    this.receiver.receive(event, attemptId);
   }
 
   private replaceSilentAttempt(): void {
@@ -187,23 +141,6 @@
     this.options = {...options, maxAttempts: options.maxAttempts - 1};
   }
 
-  private recordOutcome(outcome: 'answered' | 'failed' | 'unreachable'): void {
-    const {agentId} = this.state;
-    if (agentId) this.ctx.fleet.recordOutcome(agentId, outcome);
-  }
-
-  private reportAttemptEnd(
-    result: string,
-    reason: string,
-    idleMs?: number,
-  ): void {
-    const {observer, spec, now} = this.ctx;
-    const {agentId: serverId = '', lastReceivedAt} = this.state;
-    const silentMs = now() - lastReceivedAt;
-    const end = {serverId, result, reason, silentMs, idleMs};
-    observer.onAttemptEnded(spec, {...end, ...this.attempt?.progress()});
-  }
-
   private endAttempt(): void {
     this.attempt?.end();
     this.attempt = undefined;
@@ -215,7 +152,7 @@
     this.endAttempt();
     this.hedging.end();
     const {spec, fleet, now, onEnd} = this.ctx;
-    fleet.endWait(spec.req.requestId);
+    fleet.work.endWait(spec.req.requestId);
     onEnd({
       ...this.response.outcome(spec.req.arrivedAt),
       serverId: this.state.agentId,
--- a/packages/gateway/src/calls/hedging.ts
+++ b/packages/gateway/src/calls/hedging.ts
@@ -163,7 +163,7 @@
   private isSilenceExpected(): boolean {
     const {ctx, state, callOptions} = this.options;
     const {agentId = '', lastReceivedAt} = state();
-    const {knownBacklogMs} = ctx.fleet.loadOf(agentId);
+    const {knownBacklogMs} = ctx.fleet.work.loadOf(agentId);
     const allowedMs = callOptions().progressTimeoutMs + knownBacklogMs;
     return ctx.now() - lastReceivedAt < allowedMs;
   }
--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -48,7 +48,7 @@
         }),
       onPlaced: ({req}, placement, attempt) => {
         const {serverId, helpers, firstEventMs, candidates} = placement;
-        const load = fleet.loadOf(serverId);
+        const load = fleet.work.loadOf(serverId);
         logger.info('request placed', {
           requestId: req.requestId,
           attempt,
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -5,7 +5,6 @@
   RandomSource,
   ServerNotice,
   WorkChange,
-  WorkItem,
 } from '@figfall/decisions';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
@@ -13,6 +12,7 @@
 import {countServers} from './count_servers.js';
 import {describeRefusal} from './describe_refusal.js';
 import type {FleetView} from './fleet_view.js';
+import {FleetWork} from './fleet_work.js';
 import type {PlaceOptions} from './place_options.js';
 import type {Placement} from './placement.js';
 import {planRequest} from './plan_request.js';
@@ -41,13 +41,15 @@
   private servers: readonly BackendServer[] = [];
   private byId: ReadonlyMap<string, BackendServer> = new Map();
   private evacuatedZones: ReadonlySet<string> = new Set();
-  private load = fleetLoad.empty();
   private readonly observations: ServerObservations;
+  /** Work of all gateways at the servers. */
+  readonly work: FleetWork;
   /** Requests and prompts that may crash backend servers. */
   readonly suspects: Suspects;
 
   constructor(private readonly options: FleetOptions) {
     this.observations = new ServerObservations(options);
+    this.work = new FleetWork(options);
     this.suspects = new Suspects({
       ...options,
       applyAndAnnounce: change => this.applyAndAnnounce(change),
@@ -91,13 +93,13 @@
       random,
       now: now(),
       lastEventAt,
-      lowestOtherRank: fleetLoad.lowestRank(this.load, requestId),
+      lowestOtherRank: fleetLoad.lowestRank(this.work.load, requestId),
     });
     if (plan?.type === 'wait') {
-      if (!isHedge) this.startWait(requestId, plan.rank);
+      if (!isHedge) this.work.startWait(requestId, plan.rank);
       return err(createFailure('not-ready', 'The prompt waits for servers.'));
     }
-    this.endWait(requestId);
+    this.work.endWait(requestId);
     if (plan?.type === 'refuse') {
       const {reason, retryAfterMs: delayMs} = plan;
       const details = {retryAfterMs: delayMs};
@@ -110,7 +112,7 @@
   }
 
   private candidates(spec: CallSpec, exclude: readonly string[]) {
-    const fleet = {...this.view(), load: this.load};
+    const fleet = {...this.view(), load: this.work.load};
     return eligibleServers(fleet, spec.service, exclude, this.options.now());
   }
 
@@ -122,96 +124,60 @@
 
   /** Counts servers by state, and waiting prompts, for metrics. */
   counts() {
-    const {load, options} = this;
+    const {load} = this.work;
     return {
-      ...countServers(this.view(), options.now()),
+      ...countServers(this.view(), this.options.now()),
       waiting: load.waiting.size,
       working: fleetLoad.busyServers(load),
       blockedParts: this.suspects.blockedPartCount(),
     };
   }
 
-  /** Ends a prompt's wait, if it waits. */
-  endWait(requestId: string): void {
-    if (this.load.waiting.has(requestId)) this.endWork(requestId);
-  }
-
-  private startWait(workId: string, rank: number): void {
-    if (this.load.waiting.get(workId)?.rank === rank) return;
-    this.applyAndAnnounce({type: 'wait', workId, rank});
-  }
-
-  /** Load of a server as far as gateways have announced it. */
-  loadOf(serverId: string) {
-    return fleetLoad.serverLoad(this.load, serverId, this.options.now());
-  }
-
-  /** Adds work that this gateway has sent to a server. */
-  startWork(work: WorkItem): void {
-    this.applyAndAnnounce({type: 'start', work});
-  }
-
-  /** Records that a server has prefilled its part of a prompt. */
-  markPrefilled(workId: string): void {
-    this.applyAndAnnounce({type: 'prefilled', workId});
-  }
-
-  /** Removes work that has ended. */
-  endWork(workId: string): void {
-    this.applyAndAnnounce({type: 'end', workId});
-  }
-
   /**
    * What a newly linked gateway should know: all work of this gateway, the
    * servers known to leave, and the blocked parts of prompts.
    */
   changesForNewPeer(): readonly WorkChange[] {
-    const work = fleetLoad.changesOfOwner(this.load, this.options.owner);
-    const leaving = this.observations.leavingChanges();
-    return [...leaving, ...this.suspects.changesForNewPeer(), ...work];
+    return [
+      ...this.observations.leavingChanges(),
+      ...this.suspects.changesForNewPeer(),
+      ...this.work.changesForNewPeer(),
+    ];
   }
 
   /** Applies a change that another gateway announced. */
   applyRemoteChange(change: WorkChange, owner: string): void {
-    this.load = this.apply(change, owner);
+    this.apply(change, owner);
   }
 
-  private apply(change: WorkChange, owner: string) {
-    const now = this.options.now();
+  private apply(change: WorkChange, owner: string): void {
     switch (change.type) {
       case 'start':
-        return fleetLoad.addWork(this.load, change.work, owner, now);
       case 'prefilled':
-        return fleetLoad.markPrefilled(this.load, change.workId);
-      case 'wait': {
-        const {workId, rank} = change;
-        return fleetLoad.addWaiting(this.load, workId, {owner, rank}, now);
-      }
+      case 'wait':
       case 'end':
-        return fleetLoad.endWork(this.load, change.workId);
+        return this.work.apply(change, owner);
       case 'unreachable':
-        this.observations.recordOutcome(change.serverId, 'unreachable');
-        return this.load;
+        return this.observations.recordOutcome(change.serverId, 'unreachable');
       case 'leaving': {
         const {serverId: id, processStartedAt} = change;
         this.observations.recordLeaving({id, processStartedAt});
-        return this.load;
+        return;
       }
       default:
         this.suspects.apply(change);
-        return this.load;
     }
   }
 
   private applyAndAnnounce(change: WorkChange): void {
     const {owner, announce} = this.options;
-    this.load = this.apply(change, owner);
+    this.apply(change, owner);
     announce(change);
   }
 
   /** Removes expired work, and all work of a gateway that is gone. */
   prune(owner?: string): void {
-    this.load = fleetLoad.removeStale(this.load, owner, this.options.now());
+    this.work.prune(owner);
     this.suspects.removeExpired();
     this.observations.removeExpired();
   }
--- a/playground/src/simulation/baseline_fleet.ts
+++ b/playground/src/simulation/baseline_fleet.ts
@@ -31,7 +31,7 @@
     const {engine} = service;
     const ranked = this.listedServers
       .filter(({id}) => !exclude.includes(id))
-      .map(({id}) => ({id, load: this.loadOf(id)}))
+      .map(({id}) => ({id, load: this.work.loadOf(id)}))
       .toSorted((a, b) => a.load.backlogMs - b.load.backlogMs);
     const [first, ...others] = ranked;
     if (!first || !prompt || !engine) {
