feat(gateway): a server's named request rate is read, logged and measured

The logs could not tell the hypotheses of LIMIT apart: nothing said whether a gateway had seen Server-Limit, since when, and what it had sent there. Now the header is read (decimal numbers only; anything else tells nothing), the rate is kept by server process, in the order of requests rather than of responses, and logged as 'server limit'. 'request placed' has the limit, its age and the own sends of the last 4 s; gauges figfall_server_limit and figfall_server_limit_sent say the same. Placement doesn't use it yet.

--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -90,6 +90,10 @@
   limits: {maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000},
 };
 
+type LimitChange = Parameters<
+  ConstructorParameters<typeof Fleet>[0]['onLimit']
+>[0];
+
 interface FixtureOptions {
   readonly isConfigured?: boolean;
   /** Retry budget of the gateway. */
@@ -114,6 +118,7 @@
   const caller = {isCongested: false};
   const attempts: SentAttempt[] = [];
   const announced: WorkChange[] = [];
+  const limitChanges: LimitChange[] = [];
   const client: BackendClient = {
     send: (req, onEvent) => {
       const attempt: SentAttempt = {
@@ -142,6 +147,7 @@
     now: () => clock.now,
     announce: change => announced.push(change),
     onAvoided: () => undefined,
+    onLimit: change => limitChanges.push(change),
     onPartBlocked: () => undefined,
   });
   const core = new GatewayCore({
@@ -209,6 +215,7 @@
     caller,
     attempts,
     announced,
+    limitChanges,
     core,
     fleet,
     configure,
--- a/packages/gateway/src/__tests__/server_notices.test.ts
+++ b/packages/gateway/src/__tests__/server_notices.test.ts
@@ -2,10 +2,12 @@
 import {expect} from 'earl';
 import {gatewayFixture} from './gateway_fixture.js';
 
-const LEAVING = {isLeaving: true, pauseMs: 0};
+const UNLIMITED = {rateLimit: {type: 'none'}, askedAt: 0} as const;
+
+const LEAVING = {isLeaving: true, pauseMs: 0, ...UNLIMITED};
 
 function pauseFor(pauseMs: number) {
-  return {isLeaving: false, pauseMs};
+  return {isLeaving: false, pauseMs, ...UNLIMITED};
 }
 
 function setUp(serverIds?: readonly string[]) {
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -143,6 +143,7 @@
       return [{server: helper, reservationId}];
     });
     this.sentAt = now();
+    fleet.limits.recordSend(server.id);
     this.exchange = client.send(
       {
         requestId: req.requestId,
--- a/packages/gateway/src/core/add_fleet_gauges.ts
+++ b/packages/gateway/src/core/add_fleet_gauges.ts
@@ -13,6 +13,21 @@
   'working',
 ] as const;
 
+type LimitStatus = NonNullable<ReturnType<Fleet['limits']['status']>>;
+
+/** Sets a gauge's value for each limited server, and only for these. */
+function setForLimited(
+  gauge: Gauge<'server'>,
+  {limits}: Fleet,
+  valueOf: (status: LimitStatus) => number,
+): void {
+  gauge.reset();
+  limits.limitedServers().forEach(server => {
+    const status = limits.status(server);
+    if (status) gauge.set({server}, valueOf(status));
+  });
+}
+
 /** Adds gauges of a gateway's fleet and process, collected on each scrape. */
 export function addFleetGauges({registry}: GatewayMetrics, fleet: Fleet): void {
   const registers = [registry];
@@ -26,6 +41,24 @@
       SERVER_STATES.forEach(state => this.set({state}, counts[state]));
     },
   });
+  new Gauge({
+    name: 'figfall_server_limit',
+    help: 'Requests a second that a backend server takes from all gateways.',
+    labelNames: ['server'],
+    registers,
+    collect() {
+      setForLimited(this, fleet, ({limitPerSecond}) => limitPerSecond);
+    },
+  });
+  new Gauge({
+    name: 'figfall_server_limit_sent',
+    help: 'Requests that this gateway sent to a limited backend server in the last 4 s.',
+    labelNames: ['server'],
+    registers,
+    collect() {
+      setForLimited(this, fleet, ({limitSent}) => limitSent);
+    },
+  });
   new Gauge({
     name: 'figfall_waiting_prompts',
     help: 'Prompts waiting for servers at this gateway and linked ones.',
--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -59,6 +59,7 @@
           running: load.running,
           backlogMs: Math.round(load.backlogMs),
           predictedMs: Math.round(firstEventMs),
+          ...fleet.limits.status(serverId),
           configVersion: configVersion(),
         });
       },
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -16,6 +16,7 @@
 import type {PlaceOptions} from './place_options.js';
 import type {Placement} from './placement.js';
 import {planRequest} from './plan_request.js';
+import {RateLimits} from './rate_limits.js';
 import {ServerObservations} from './server_observations.js';
 import {Suspects} from './suspects.js';
 
@@ -28,12 +29,18 @@
   readonly now: () => number;
   /** Called when a server will be avoided, for `ms` milliseconds or for good. */
   readonly onAvoided: (serverId: string, reason: string, ms?: number) => void;
+  /** Called when the request rate that a server takes has changed. */
+  readonly onLimit: (change: LimitChange) => void;
   /** Called when prompts with a part begin or cease to be refused. */
   readonly onPartBlocked: (part: string, isBlocked: boolean) => void;
   /** Sends a change of this gateway's work to other gateways. */
   readonly announce: (change: WorkChange) => void;
 }
 
+type LimitChange = Parameters<
+  ConstructorParameters<typeof RateLimits>[0]['onLimit']
+>[0];
+
 type Outcome = Parameters<ServerObservations['recordOutcome']>[1];
 
 /** A gateway's view of the backend servers, their health and their load. */
@@ -44,12 +51,18 @@
   private readonly observations: ServerObservations;
   /** Work of all gateways at the servers. */
   readonly work: FleetWork;
+  /** Request rates that servers have named. */
+  readonly limits: RateLimits;
   /** Requests and prompts that may crash backend servers. */
   readonly suspects: Suspects;
 
   constructor(private readonly options: FleetOptions) {
     this.observations = new ServerObservations(options);
     this.work = new FleetWork(options);
+    this.limits = new RateLimits({
+      ...options,
+      find: serverId => this.find(serverId),
+    });
     this.suspects = new Suspects({
       ...options,
       applyAndAnnounce: change => this.applyAndAnnounce(change),
@@ -180,6 +193,7 @@
     this.work.prune(owner);
     this.suspects.removeExpired();
     this.observations.removeExpired();
+    this.limits.removeExpired();
   }
 
   /** Records how an attempt at a server ended. */
@@ -193,8 +207,9 @@
   /** Records what a response said of the server that sent it. */
   recordNotice(
     {id, processStartedAt}: BackendServer,
-    {isLeaving, pauseMs}: ServerNotice,
+    {isLeaving, pauseMs, rateLimit, askedAt}: ServerNotice,
   ): void {
+    this.limits.record({id, processStartedAt}, rateLimit, askedAt);
     if (pauseMs > 0) this.observations.recordPause(id, pauseMs);
     const server = {id, processStartedAt};
     if (!isLeaving || !this.observations.recordLeaving(server)) return;
--- a/playground/src/simulation/run_simulation.ts
+++ b/playground/src/simulation/run_simulation.ts
@@ -124,6 +124,7 @@
       random,
       now: clock.now,
       onAvoided: () => undefined,
+      onLimit: () => undefined,
       onPartBlocked: () => undefined,
       announce: change => broadcast(owner, change),
     };
