fix(gateway): the request rate that a server names holds for all gateways together

What callers saw: nothing; backend servers that named a limit of 1.1 and 1 requests a second got 16 and 13 in 4 s (allowed 12 and 11). Cause: no gateway used the limit; servers were chosen by zone, load and health alone, so each of them got as much as before it named a limit. front-sued-1 alone placed 8 first attempts in 4 s at a limit of 1.1. Class: a promise that is judged over all gateways, with nothing that keeps its sum. Change: each gateway lends its share of a server's limit to one issuer, which hands out permits for single requests at the sum of the shares that it has (docs/design/server_limits.md). However the views of gateways differ, the shares add up to the limit. Requests whose servers are all limited wait for permits in turns of workspace and route, or are refused at once as not run. Limited servers prefill no parts of split prompts. Limits are announced to all gateways and kept in the order of requests.

--- a/packages/decisions/src/errors/error_definitions.ts
+++ b/packages/decisions/src/errors/error_definitions.ts
@@ -44,6 +44,12 @@
     retryElsewhere: true,
     retryAfterMs: 1_000,
   },
+  'server-limit': {
+    status: 429,
+    ran: 'no',
+    retryElsewhere: true,
+    retryAfterMs: 1_000,
+  },
   'deadline-infeasible': {
     status: 429,
     ran: 'no',
--- a/packages/decisions/src/serving/__tests__/eligible_servers.test.ts
+++ b/packages/decisions/src/serving/__tests__/eligible_servers.test.ts
@@ -33,6 +33,7 @@
     health: new Map<string, ServerHealth>(),
     evacuatedZones: new Set<string>(),
     notices: serverNotices.empty(),
+    rateLimitOf: () => undefined,
     ...options,
   };
   return eligibleServers(
--- a/packages/decisions/src/serving/candidate.ts
+++ b/packages/decisions/src/serving/candidate.ts
@@ -9,4 +9,11 @@
   readonly failureRate: number;
   /** True while the server warms up and takes few requests. */
   readonly isCold: boolean;
+  /** Set if the server has named a request rate that it takes. */
+  readonly rateLimit?: {
+    /** Requests a second from all gateways together. */
+    readonly perSecond: number;
+    /** Requests that this gateway may send there now. */
+    readonly permits: number;
+  };
 }
--- a/packages/decisions/src/serving/eligible_servers.ts
+++ b/packages/decisions/src/serving/eligible_servers.ts
@@ -18,6 +18,8 @@
   readonly evacuatedZones: ReadonlySet<string>;
   /** Servers that leave or pause; these are left out without exception. */
   readonly notices: ReturnType<typeof serverNotices.empty>;
+  /** The request rate of a server, and what this gateway may send of it. */
+  readonly rateLimitOf: (serverId: string) => Candidate['rateLimit'];
 }
 
 function isWithinColdRate(
@@ -33,7 +35,7 @@
 
 /**
  * Lists the backend servers that a request may be sent to now, without those
- * whose ids are in `exclude`. Servers that are being avoided are returned only
+ * whose ids are in `exclude`; a server with a request rate needs a permit, too. Servers that are being avoided are returned only
  * if there are no others.
  */
 export function eligibleServers(
@@ -53,6 +55,7 @@
       load: fleetLoad.serverLoad(fleet.load, server.id, now),
       failureRate: passiveHealth.failureRate(fleet.health.get(server.id), now),
       isCold: server.coldUntil > now,
+      rateLimit: fleet.rateLimitOf(server.id),
     }))
     .filter(candidate => isWithinColdRate(candidate, service));
   const reachable = candidates.filter(
--- a/packages/decisions/src/serving/work_change.ts
+++ b/packages/decisions/src/serving/work_change.ts
@@ -25,4 +25,17 @@
       /** Start of the process that leaves, in Unix milliseconds. */
       readonly processStartedAt?: number;
     }
+  | {
+      /** A backend server has named, changed or ended its request rate. */
+      readonly type: 'limit';
+      readonly serverId: string;
+      /** Start of the server's process, in Unix milliseconds. */
+      readonly processStartedAt?: number;
+      /** Requests a second from all gateways together; none if it ended. */
+      readonly perSecond?: number;
+      /** Milliseconds since the request was sent whose response said so. */
+      readonly askedAgoMs: number;
+      /** Milliseconds since the last response that said so. */
+      readonly heardAgoMs: number;
+    }
   | SuspectChange;
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -1,6 +1,7 @@
 import type {
   BackendServer,
   EngineProfile,
+  PermitMessage,
   ServingConfig,
   WorkChange,
 } from '@figfall/decisions';
@@ -8,6 +9,7 @@
 import {createGatewayMetrics} from '../core/create_gateway_metrics.js';
 import {Fleet} from '../core/fleet.js';
 import {GatewayCore} from '../core/gateway_core.js';
+import {hashText} from '../core/hash_text.js';
 import type {ResponseHead} from '../ports/response_head.js';
 import type {ResponseSink} from '../ports/response_sink.js';
 import type {BackendClient} from '../ports/backend_client.js';
@@ -119,6 +121,7 @@
   const attempts: SentAttempt[] = [];
   const announced: WorkChange[] = [];
   const limitChanges: LimitChange[] = [];
+  const sentPermits: {to: string; message: PermitMessage}[] = [];
   const client: BackendClient = {
     send: (req, onEvent) => {
       const attempt: SentAttempt = {
@@ -148,6 +151,9 @@
     announce: change => announced.push(change),
     onAvoided: () => undefined,
     onLimit: change => limitChanges.push(change),
+    gatewayId: 'self',
+    hash: hashText,
+    sendPermits: (to, message) => sentPermits.push({to, message}),
     onPartBlocked: () => undefined,
   });
   const core = new GatewayCore({
@@ -216,6 +222,7 @@
     attempts,
     announced,
     limitChanges,
+    sentPermits,
     core,
     fleet,
     configure,
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -101,6 +101,8 @@
   end(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
+    const {fleet, server} = this.options;
+    if (!this.exchange) fleet.limits.giveBack(server.id);
     this.exchange?.cancel();
     this.reservations?.release();
     this.work.endAll();
--- a/packages/gateway/src/calls/call_attempts.ts
+++ b/packages/gateway/src/calls/call_attempts.ts
@@ -51,13 +51,15 @@
     }
     const placement = fleet.place(spec, options);
     if (placement.isErr()) {
-      if (placement.error.kind === 'not-ready') this.reportWaiting();
+      const {kind, message} = placement.error;
+      if (kind === 'not-ready') this.reportWaiting(message);
       return err(placement.error);
     }
     if (this.placed > 0 && !spendRetry(spec.service.name)) {
       const message = 'Too many requests are being retried.';
       return err(lastFailure ?? createFailure('retry-budget', message));
     }
+    fleet.limits.take(placement.value.serverId);
     this.placed += 1;
     observer.onPlaced(spec, placement.value, this.placed);
     return ok(placement.value);
@@ -69,8 +71,8 @@
     return new BackendAttempt({spec, fleet, client, now, ...target});
   }
 
-  private reportWaiting(): void {
-    if (!this.isWaiting) this.ctx.observer.onWaiting(this.ctx.spec);
+  private reportWaiting(reason: string): void {
+    if (!this.isWaiting) this.ctx.observer.onWaiting(this.ctx.spec, reason);
     this.isWaiting = true;
   }
 }
--- a/packages/gateway/src/calls/call_observer.ts
+++ b/packages/gateway/src/calls/call_observer.ts
@@ -3,8 +3,8 @@
 
 /** Receives the decisions made on a request, for the log. */
 export interface CallObserver {
-  /** Called when a prompt starts to wait for servers. */
-  readonly onWaiting: (spec: CallSpec) => void;
+  /** Called when a request starts to wait for servers or their permits. */
+  readonly onWaiting: (spec: CallSpec, reason: string) => void;
   /** Called when an attempt is placed; `attempt` counts from 1. */
   readonly onPlaced: (
     spec: CallSpec,
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -152,7 +152,7 @@
     this.endAttempt();
     this.hedging.end();
     const {spec, fleet, now, onEnd} = this.ctx;
-    fleet.work.endWait(spec.req.requestId);
+    fleet.endWait(spec.req.requestId);
     onEnd({
       ...this.response.outcome(spec.req.arrivedAt),
       serverId: this.state.agentId,
--- a/packages/gateway/src/core/add_fleet_gauges.ts
+++ b/packages/gateway/src/core/add_fleet_gauges.ts
@@ -59,6 +59,15 @@
       setForLimited(this, fleet, ({limitSent}) => limitSent);
     },
   });
+  new Gauge({
+    name: 'figfall_server_limit_permits',
+    help: 'Requests that this gateway may send to a limited backend server now.',
+    labelNames: ['server'],
+    registers,
+    collect() {
+      setForLimited(this, fleet, ({limitPermits}) => limitPermits);
+    },
+  });
   new Gauge({
     name: 'figfall_waiting_prompts',
     help: 'Prompts waiting for servers at this gateway and linked ones.',
--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -39,15 +39,17 @@
 
   return {
     observer: {
-      onWaiting: ({req, route}) =>
+      onWaiting: ({req, route}, reason) =>
         logger.info('request waits', {
           requestId: req.requestId,
           route: route.name,
           promptTokens: req.prompt?.promptTokens,
+          reason,
           configVersion: configVersion(),
         }),
       onPlaced: ({req}, placement, attempt) => {
-        const {serverId, helpers, firstEventMs, candidates} = placement;
+        const {serverId, helpers, firstEventMs} = placement;
+        const {candidates, heldBack} = placement;
         const load = fleet.work.loadOf(serverId);
         logger.info('request placed', {
           requestId: req.requestId,
@@ -56,6 +58,7 @@
           serverId,
           helpers: helpers.map(helper => helper.serverId).join(' '),
           candidates,
+          heldBack: heldBack || undefined,
           running: load.running,
           backlogMs: Math.round(load.backlogMs),
           predictedMs: Math.round(firstEventMs),
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -1,8 +1,8 @@
 import {createFailure, eligibleServers, fleetLoad} from '@figfall/decisions';
 import type {
   BackendServer,
+  Candidate,
   Failure,
-  RandomSource,
   ServerNotice,
   WorkChange,
 } from '@figfall/decisions';
@@ -11,36 +11,18 @@
 import type {CallSpec} from '../calls/call_spec.js';
 import {countServers} from './count_servers.js';
 import {describeRefusal} from './describe_refusal.js';
+import type {FleetOptions} from './fleet_options.js';
 import type {FleetView} from './fleet_view.js';
 import {FleetWork} from './fleet_work.js';
 import type {PlaceOptions} from './place_options.js';
 import type {Placement} from './placement.js';
+import {mayBeSentTo} from './may_be_sent_to.js';
 import {planRequest} from './plan_request.js';
+import {LimitWaits} from './limit_waits.js';
 import {RateLimits} from './rate_limits.js';
 import {ServerObservations} from './server_observations.js';
 import {Suspects} from './suspects.js';
 
-interface FleetOptions {
-  /** Unique id of this gateway's process, as owner of its work. */
-  readonly owner: string;
-  /** Availability zone of this gateway; its servers are preferred. */
-  readonly zone: string;
-  readonly random: RandomSource;
-  readonly now: () => number;
-  /** Called when a server will be avoided, for `ms` milliseconds or for good. */
-  readonly onAvoided: (serverId: string, reason: string, ms?: number) => void;
-  /** Called when the request rate that a server takes has changed. */
-  readonly onLimit: (change: LimitChange) => void;
-  /** Called when prompts with a part begin or cease to be refused. */
-  readonly onPartBlocked: (part: string, isBlocked: boolean) => void;
-  /** Sends a change of this gateway's work to other gateways. */
-  readonly announce: (change: WorkChange) => void;
-}
-
-type LimitChange = Parameters<
-  ConstructorParameters<typeof RateLimits>[0]['onLimit']
->[0];
-
 type Outcome = Parameters<ServerObservations['recordOutcome']>[1];
 
 /** A gateway's view of the backend servers, their health and their load. */
@@ -53,6 +35,7 @@
   readonly work: FleetWork;
   /** Request rates that servers have named. */
   readonly limits: RateLimits;
+  private readonly limitWaits: LimitWaits;
   /** Requests and prompts that may crash backend servers. */
   readonly suspects: Suspects;
 
@@ -63,6 +46,7 @@
       ...options,
       find: serverId => this.find(serverId),
     });
+    this.limitWaits = new LimitWaits({...options, limits: this.limits});
     this.suspects = new Suspects({
       ...options,
       applyAndAnnounce: change => this.applyAndAnnounce(change),
@@ -90,26 +74,21 @@
 
   /**
    * Chooses backend servers for a request and clears its wait. Fails with
-   * `not-ready` while a prompt must wait for servers.
+   * `not-ready` while the request must wait for servers or their permits.
    */
-  place(
-    spec: CallSpec,
-    {exclude, lastEventAt, isHedge = false}: PlaceOptions,
-  ): Result<Placement, Failure> {
+  place(spec: CallSpec, options: PlaceOptions): Result<Placement, Failure> {
     const refusal = this.suspects.refusal(spec);
     if (refusal) return err(refusal);
-    const candidates = this.candidates(spec, exclude);
-    const {zone, random, now} = this.options;
+    const held = this.limitWaits.stillHeld(spec);
+    if (held) return err(held);
+    const all = this.candidates(spec, options.exclude);
+    const delay = this.limitWaits.delay(spec, all, options);
+    if (delay) return err(delay);
+    const candidates = all.filter(mayBeSentTo);
+    const plan = this.plan(spec, candidates, options);
     const {requestId} = spec.req;
-    const plan = planRequest(candidates, spec, {
-      zone,
-      random,
-      now: now(),
-      lastEventAt,
-      lowestOtherRank: fleetLoad.lowestRank(this.work.load, requestId),
-    });
     if (plan?.type === 'wait') {
-      if (!isHedge) this.work.startWait(requestId, plan.rank);
+      if (!options.isHedge) this.work.startWait(requestId, plan.rank);
       return err(createFailure('not-ready', 'The prompt waits for servers.'));
     }
     this.work.endWait(requestId);
@@ -118,14 +97,38 @@
       const details = {retryAfterMs: delayMs};
       return err(createFailure('deadline-infeasible', reason, details));
     }
-    if (!plan)
-      return err(describeRefusal(this.view(), spec.service.name, now()));
+    if (!plan) {
+      const {name} = spec.service;
+      return err(describeRefusal(this.view(), name, this.options.now()));
+    }
     this.suspects.recordTrial(spec);
-    return ok({...plan.placement, candidates: candidates.length});
+    this.limitWaits.serve(spec);
+    return ok({
+      ...plan.placement,
+      candidates: candidates.length,
+      heldBack: this.limits.describe(all.filter(other => !mayBeSentTo(other))),
+    });
+  }
+
+  private plan(
+    spec: CallSpec,
+    candidates: readonly Candidate[],
+    {lastEventAt}: PlaceOptions,
+  ) {
+    const {zone, random, now} = this.options;
+    const {requestId} = spec.req;
+    return planRequest(candidates, spec, {
+      zone,
+      random,
+      now: now(),
+      lastEventAt,
+      lowestOtherRank: fleetLoad.lowestRank(this.work.load, requestId),
+    });
   }
 
   private candidates(spec: CallSpec, exclude: readonly string[]) {
-    const fleet = {...this.view(), load: this.work.load};
+    const rateLimitOf = (id: string) => this.limits.candidateLimit(id);
+    const fleet = {...this.view(), load: this.work.load, rateLimitOf};
     return eligibleServers(fleet, spec.service, exclude, this.options.now());
   }
 
@@ -135,6 +138,12 @@
     return {servers, health, notices, evacuatedZones};
   }
 
+  /** Ends the wait of a request that has ended, if it waits. */
+  endWait(requestId: string): void {
+    this.work.endWait(requestId);
+    this.limitWaits.leave(requestId);
+  }
+
   /** Counts servers by state, and waiting prompts, for metrics. */
   counts() {
     const {load} = this.work;
@@ -153,6 +162,7 @@
   changesForNewPeer(): readonly WorkChange[] {
     return [
       ...this.observations.leavingChanges(),
+      ...this.limits.book.changesForNewPeer(),
       ...this.suspects.changesForNewPeer(),
       ...this.work.changesForNewPeer(),
     ];
@@ -177,6 +187,8 @@
         this.observations.recordLeaving({id, processStartedAt});
         return;
       }
+      case 'limit':
+        return this.limits.book.applyRemote(change);
       default:
         this.suspects.apply(change);
     }
@@ -209,7 +221,7 @@
     {id, processStartedAt}: BackendServer,
     {isLeaving, pauseMs, rateLimit, askedAt}: ServerNotice,
   ): void {
-    this.limits.record({id, processStartedAt}, rateLimit, askedAt);
+    this.limits.book.record({id, processStartedAt}, rateLimit, askedAt);
     if (pauseMs > 0) this.observations.recordPause(id, pauseMs);
     const server = {id, processStartedAt};
     if (!isLeaving || !this.observations.recordLeaving(server)) return;
--- /dev/null
+++ b/packages/gateway/src/core/fleet_options.ts
@@ -0,0 +1,27 @@
+import type {HashFunction, RandomSource, WorkChange} from '@figfall/decisions';
+import type {RateLimits} from './rate_limits.js';
+
+type RateLimitsOptions = ConstructorParameters<typeof RateLimits>[0];
+
+/** Options of a gateway's fleet. */
+export interface FleetOptions {
+  /** Unique id of this gateway's process, as owner of its work. */
+  readonly owner: string;
+  /** Availability zone of this gateway; its servers are preferred. */
+  readonly zone: string;
+  readonly random: RandomSource;
+  readonly now: () => number;
+  /** Called when a server will be avoided, for `ms` milliseconds or for good. */
+  readonly onAvoided: (serverId: string, reason: string, ms?: number) => void;
+  /** Called when the request rate that a server takes has changed. */
+  readonly onLimit: RateLimitsOptions['onLimit'];
+  /** Id of this gateway among all gateways. */
+  readonly gatewayId: string;
+  readonly hash: HashFunction;
+  /** Sends a message about permits to a linked gateway. */
+  readonly sendPermits: RateLimitsOptions['sendPermits'];
+  /** Called when prompts with a part begin or cease to be refused. */
+  readonly onPartBlocked: (part: string, isBlocked: boolean) => void;
+  /** Sends a change of this gateway's work to other gateways. */
+  readonly announce: (change: WorkChange) => void;
+}
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -16,6 +16,7 @@
 import {createCallLog} from './create_call_log.js';
 import type {Fleet} from './fleet.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
+import {LimitChecks} from './limit_checks.js';
 import {StartupQueue} from './startup_queue.js';
 
 interface GatewayCoreOptions {
@@ -55,10 +56,13 @@
   private readonly startupQueue = new StartupQueue();
   private readonly createdAt: number;
   private lastTickAt?: number;
+  private readonly limitChecks: LimitChecks;
   private readonly log: ReturnType<typeof createCallLog>;
 
   constructor(private readonly options: GatewayCoreOptions) {
     this.createdAt = options.now();
+    const {limits} = options.fleet;
+    this.limitChecks = new LimitChecks({...options, limits});
     this.log = createCallLog({
       ...options,
       configVersion: () => this.configVersion(),
@@ -133,6 +137,8 @@
   tick(): void {
     this.observeTickDelay();
     if (!this.isStarting()) this.startupQueue.flush();
+    this.options.fleet.limits.permits.tick();
+    this.limitChecks.tick();
     [...this.calls.values()].forEach(call => call.tick());
   }
 
--- a/packages/gateway/src/core/placement.ts
+++ b/packages/gateway/src/core/placement.ts
@@ -4,4 +4,6 @@
 export interface Placement extends PromptPlacement {
   /** Number of eligible backend servers at the time of the choice. */
   readonly candidates: number;
+  /** Servers left out because of their request rates, as a text for the log. */
+  readonly heldBack: string;
 }
--- a/packages/gateway/src/core/plan_request.ts
+++ b/packages/gateway/src/core/plan_request.ts
@@ -1,4 +1,8 @@
-import {chooseLeastLoaded, engineTime, planPrompt} from '@figfall/decisions';
+import {
+  chooseLeastLoaded,
+  engineTime,
+  planLimitedPrompt,
+} from '@figfall/decisions';
 import type {Candidate, PromptPlan, RandomSource} from '@figfall/decisions';
 import type {CallSpec} from '../calls/call_spec.js';
 import {callerPatienceMs} from '../calls/caller_patience_ms.js';
@@ -32,7 +36,7 @@
     const placement = {serverId, helpers: [], prefillMs: 0, firstEventMs: 0};
     return {type: 'start', placement};
   }
-  return planPrompt(candidates, {
+  return planLimitedPrompt(candidates, {
     engine,
     ...prompt,
     latencyTargetMs: Math.max(
--- a/packages/gateway/src/core/rate_limits.ts
+++ b/packages/gateway/src/core/rate_limits.ts
@@ -1,23 +1,20 @@
-import {knownLimits} from '@figfall/decisions';
-import type {BackendServer, RateLimitNotice} from '@figfall/decisions';
+import type {BackendServer, Candidate} from '@figfall/decisions';
+import {LimitBook} from './limit_book.js';
+import {RatePermits} from './rate_permits.js';
 
 /** Window in milliseconds in which a gateway's own sends are counted. */
 const SENDS_WINDOW_MS = 4_000;
 
+/** Limit in requests a second below which its server is asked for its state. */
+const CHECK_BELOW_PER_SECOND = 0.25;
+
 type ServerProcess = Pick<BackendServer, 'id' | 'processStartedAt'>;
 
-interface RateLimitsOptions {
-  readonly now: () => number;
-  /** The listed server with an id. */
-  readonly find: (serverId: string) => BackendServer | undefined;
-  /** Called when the request rate that a server takes has changed. */
-  readonly onLimit: (change: {
-    readonly serverId: string;
-    /** Requests a second; undefined if the limit has ended. */
-    readonly limitPerSecond?: number;
-    readonly previousPerSecond?: number;
-  }) => void;
-}
+type RateLimitsOptions = ConstructorParameters<typeof LimitBook>[0] &
+  Omit<ConstructorParameters<typeof RatePermits>[0], 'ratedServers'> & {
+    /** The listed server with an id. */
+    readonly find: (serverId: string) => BackendServer | undefined;
+  };
 
 /** A server's limit as a gateway sees it, for logs and metrics. */
 interface LimitStatus {
@@ -27,35 +24,38 @@
   readonly limitAgeMs: number;
   /** Requests that this gateway sent there in the last 4 s. */
   readonly limitSent: number;
+  /** Permits that this gateway holds now. */
+  readonly limitPermits: number;
 }
 
-/** The request rates that backend servers have named. */
+/** Request rates of the listed servers, and this gateway's permits for them. */
 export class RateLimits {
-  private known: Parameters<typeof knownLimits.find>[0] = new Map();
+  /** The request rates that servers have named. */
+  readonly book: LimitBook;
+  readonly permits: RatePermits;
   /** Times in milliseconds of own sends to each limited server. */
   private readonly sends = new Map<string, readonly number[]>();
 
-  constructor(private readonly options: RateLimitsOptions) {}
-
-  /** Records what a response says; `askedAt` is when its request was sent. */
-  record(
-    server: ServerProcess,
-    rateLimit: RateLimitNotice,
-    askedAt: number,
-  ): void {
-    const before = knownLimits.find(this.known, server)?.perSecond;
-    const heardAt = this.options.now();
-    const response = {rateLimit, askedAt, heardAt};
-    this.known = knownLimits.record(this.known, server, response);
-    const after = knownLimits.find(this.known, server)?.perSecond;
-    if (after === before) return;
-    this.options.onLimit({
-      serverId: server.id,
-      limitPerSecond: after,
-      previousPerSecond: before,
+  constructor(private readonly options: RateLimitsOptions) {
+    this.book = new LimitBook(options);
+    this.permits = new RatePermits({
+      ...options,
+      ratedServers: () => this.book.ratedServers(),
     });
   }
 
+  /**
+   * Listed servers with limits so low that requests hardly tell when they end,
+   * as far as this gateway issues their permits.
+   */
+  serversToCheck(): readonly BackendServer[] {
+    return this.book
+      .ratedServers()
+      .filter(({perSecond}) => perSecond < CHECK_BELOW_PER_SECOND)
+      .filter(server => this.permits.isIssuerOf(server))
+      .flatMap(({id}) => this.options.find(id) ?? []);
+  }
+
   /** Counts a request that was sent to a server. */
   recordSend(serverId: string): void {
     if (!this.limitOf(serverId)) return;
@@ -65,34 +65,82 @@
     ]);
   }
 
+  /** A server's limit and own permits, as placement weighs them. */
+  candidateLimit(serverId: string): Candidate['rateLimit'] {
+    const perSecond = this.limitOf(serverId)?.perSecond;
+    const server = this.options.find(serverId);
+    if (!server || perSecond === undefined) return undefined;
+    return {perSecond, permits: this.permits.usable(server)};
+  }
+
+  /** Uses a permit for a request to a server, if that has a limit. */
+  take(serverId: string): void {
+    const server = this.options.find(serverId);
+    if (server && this.limitOf(serverId)) this.permits.take(server);
+  }
+
+  /** Takes back the use of a permit whose request was not sent. */
+  giveBack(serverId: string): void {
+    const server = this.options.find(serverId);
+    if (server && this.limitOf(serverId)) this.permits.giveBack(server);
+  }
+
+  /** The rate that a server's issuer can permit, and who else waits for it. */
+  issuedRate(server: ServerProcess) {
+    const {heardAt, othersWaiting, perSecond} = this.permits.issuerOf(server);
+    const limit = this.book.find(server);
+    const named = limit?.perSecond ?? 0;
+    const isOutdated = heardAt < (limit?.knownSince ?? 0);
+    const issued = isOutdated ? named : (perSecond ?? named);
+    return {heardAt, othersWaiting, perSecond: issued};
+  }
+
   /** A server's limit; undefined if it has none. */
   status(serverId: string): LimitStatus | undefined {
+    const server = this.options.find(serverId);
     const limit = this.limitOf(serverId);
-    if (limit?.perSecond === undefined) return undefined;
+    if (!server || limit?.perSecond === undefined) return undefined;
     return {
       limitPerSecond: limit.perSecond,
       limitAgeMs: Math.round(this.options.now() - limit.knownSince),
       limitSent: this.recentSends(serverId).length,
+      limitPermits: this.permits.usable(server),
     };
   }
 
+  /** Explains the limits of servers, for logs and refusals. */
+  describe(candidates: readonly Pick<Candidate, 'server'>[]): string {
+    return candidates
+      .flatMap(({server}) => {
+        const status = this.status(server.id);
+        if (!status) return [];
+        const {limitPerSecond, limitAgeMs, limitPermits} = status;
+        const {issuer = 'none', othersWaiting} = this.permits.issuerOf(server);
+        return [
+          `${server.id}: ${limitPerSecond}/s known for ${limitAgeMs} ms, permits here: ${limitPermits}, issuer: ${issuer}, others waiting: ${othersWaiting}.`,
+        ];
+      })
+      .join(' ');
+  }
+
   /** Ids of the listed servers that have a limit. */
   limitedServers(): readonly string[] {
-    return [...this.known.keys()].filter(id => this.limitOf(id));
+    return this.book.serverIds().filter(id => this.limitOf(id));
   }
 
   removeExpired(): void {
-    const {find, now} = this.options;
-    const isListed = (id: string) => find(id) !== undefined;
-    this.known = knownLimits.removeExpired(this.known, isListed, now());
+    const {find} = this.options;
+    this.book.removeExpired(id => find(id) !== undefined);
+    const ids = new Set(this.book.serverIds());
     [...this.sends.keys()]
-      .filter(id => !this.known.has(id))
+      .filter(id => !ids.has(id))
       .forEach(id => this.sends.delete(id));
   }
 
   private limitOf(serverId: string) {
+    if (!this.book.isRemembered(serverId)) return undefined;
     const server = this.options.find(serverId);
-    return server && knownLimits.find(this.known, server);
+    return server && this.book.find(server);
   }
 
   private recentSends(serverId: string): readonly number[] {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,8 @@
 export * from './core/fleet.js';
 export * from './core/gateway_core.js';
 export * from './core/gateway_metrics.js';
+export * from './core/hash_text.js';
+export * from './core/permit_gateways.js';
 export * from './peers/host_port.js';
 export * from './peers/open_peers.js';
 export * from './ports/backend_client.js';
--- a/packages/gateway/src/peers/open_peers.ts
+++ b/packages/gateway/src/peers/open_peers.ts
@@ -1,10 +1,11 @@
-import type {WorkChange} from '@figfall/decisions';
+import type {PermitMessage, WorkChange} from '@figfall/decisions';
 import {createLinkPool, createLinkServer} from '@figfall/node-link';
 import type {LinkEvent, LinkOptions, PeerMessage} from '@figfall/node-link';
 import type {Logger} from '@figfall/observability';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 import type {Fleet} from '../core/fleet.js';
+import type {PermitGateways} from '../core/permit_gateways.js';
 import type {HostPort} from './host_port.js';
 import {PeerTable} from './peer_table.js';
 
@@ -20,6 +21,8 @@
   readonly now: () => number;
   /** Called with the number of linked gateways. */
   readonly onPeerCount: (count: number) => void;
+  /** Called with the gateways that share limits, as they change. */
+  readonly onGateways: (gateways: PermitGateways) => void;
   /** True if this gateway's last calls to the store succeeded. */
   readonly isStoreReachable: () => boolean;
   /** Called with each report of a peer that watches the store for others. */
@@ -47,6 +50,8 @@
   ) => void;
   /** Sends changes of the store to linked gateways, if this one is a relay. */
   readonly announceChanges: (changes: StoreChanges) => void;
+  /** Sends a message about permits to a linked gateway. */
+  readonly sendPermits: (gatewayId: string, message: PermitMessage) => void;
   /** Position, from 0, of this gateway among the linked ones ordered by id. */
   readonly rank: () => number;
   /** Repeats the newest revisions and removes expired non-seed addresses. */
@@ -80,6 +85,9 @@
           options.onRevisionSeen(kind, revision, era),
         );
       }
+      if (message.type === 'permit-requests' || message.type === 'permits') {
+        fleet.limits.permits.receive(link.peer()?.id ?? '', message);
+      }
       if (message.type === 'store-changes') options.onStoreChanges(message);
       if (message.type === 'entries') table.addAddresses(message.addresses);
       return link.returnCredit(stream, windowBytes);
@@ -104,6 +112,7 @@
     if (event.type === 'message')
       event.link.returnCredit(event.stream, event.windowBytes);
     options.onPeerCount(table.linkCount());
+    options.onGateways(table.gateways());
   };
 
   const table = new PeerTable(options);
@@ -124,8 +133,12 @@
       announceRevision: (kind, revision, era) =>
         table.announceRevision(kind, revision, era),
       announceChanges: changes => table.announceChanges(changes),
+      sendPermits: (gatewayId, message) => table.sendTo(gatewayId, message),
       rank: () => table.rank(),
-      tick: () => table.tick(),
+      tick: () => {
+        table.tick();
+        options.onGateways(table.gateways());
+      },
     };
   });
 }
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -1,8 +1,9 @@
-import {storeRelays} from '@figfall/decisions';
-import type {WorkChange} from '@figfall/decisions';
+import {knownMembers, storeRelays} from '@figfall/decisions';
+import type {PermitMessage, WorkChange} from '@figfall/decisions';
 import type {Link, PeerMessage} from '@figfall/node-link';
 import {GATEWAY} from '../constants.js';
 import type {Fleet} from '../core/fleet.js';
+import type {PermitGateways} from '../core/permit_gateways.js';
 import type {HostPort} from './host_port.js';
 
 /** Milliseconds after which the address of an unlinked gateway is dropped. */
@@ -10,6 +11,8 @@
 
 const WORK_STREAM = 'work';
 
+const PERMIT_STREAM = 'permits';
+
 type PeerAddress = HostPort & {readonly id: string};
 
 interface PeerTableOptions {
@@ -31,6 +34,8 @@
   private readonly lastKnownAt = new Map<string, number>();
   private readonly addresses = new Map<string, HostPort>();
   private readonly links = new Set<Link>();
+  /** The other gateways that are taken to be at work, linked or not. */
+  private members: Parameters<typeof knownMembers.count>[0] = new Map();
   /** Newest store revision seen here, by kind of object, and its era. */
   private seen: {
     readonly era: number;
@@ -51,6 +56,22 @@
     return this.links.size;
   }
 
+  /** The gateways that share limits, and those that can be reached of them. */
+  gateways(): PermitGateways {
+    const linked = [...new Set(this.linkedIds())].sort();
+    return {linked, total: knownMembers.count(this.members)};
+  }
+
+  /** Sends a message to one linked gateway. */
+  sendTo(id: string, message: PermitMessage): void {
+    const link = [...this.links].find(other => other.peer()?.id === id);
+    link?.send(PERMIT_STREAM, message);
+  }
+
+  private linkedIds(): readonly string[] {
+    return [...this.links].flatMap(link => link.peer()?.id ?? []);
+  }
+
   /** Adds unknown addresses, except the own one, and forwards them to peers. */
   addAddresses(addresses: readonly HostPort[]): void {
     const own = idOf(this.options.address);
@@ -62,6 +83,8 @@
       this.lastKnownAt.set(idOf(address), this.options.now());
     });
     if (unknown.length === 0) return;
+    const now = this.options.now();
+    this.members = knownMembers.add(this.members, unknown.map(idOf), now);
     this.publishPeers();
     const message = this.addressMessage();
     this.links.forEach(link => link.send(WORK_STREAM, message));
@@ -118,8 +141,9 @@
     this.sendRevisions();
     const now = this.options.now();
     const seeds = this.options.seeds.map(idOf);
-    const linkedIds = [...this.links].map(link => link.peer()?.id);
-    linkedIds.forEach(id => id && this.lastKnownAt.set(id, now));
+    const linkedIds = this.linkedIds();
+    this.members = knownMembers.update(this.members, linkedIds, now);
+    linkedIds.forEach(id => this.lastKnownAt.set(id, now));
     const expired = [...this.lastKnownAt]
       .filter(([id, at]) => now - at > PEER_EXPIRY_MS && !seeds.includes(id))
       .map(([id]) => id);
--- a/packages/node-link/src/messages/peer_message.ts
+++ b/packages/node-link/src/messages/peer_message.ts
@@ -3,6 +3,7 @@
   ConfigDigest,
   ConfigEntry,
   Failure,
+  PermitMessage,
   WorkChange,
 } from '@figfall/decisions';
 import type {OpenCall} from './open_call.js';
@@ -10,6 +11,7 @@
 
 /** A message between figfall processes. */
 export type PeerMessage =
+  | PermitMessage
   | {readonly type: 'open'; readonly call: OpenCall}
   | {
       readonly type: 'body';
--- a/playground/src/simulation/baseline_fleet.ts
+++ b/playground/src/simulation/baseline_fleet.ts
@@ -49,6 +49,7 @@
       prefillMs,
       firstEventMs: first.load.backlogMs + prefillMs,
       candidates: ranked.length,
+      heldBack: '',
     });
   };
 }
--- a/playground/src/simulation/limited_deployment.ts
+++ b/playground/src/simulation/limited_deployment.ts
@@ -1,12 +1,14 @@
-import type {ServingConfig, WorkChange} from '@figfall/decisions';
+import type {WorkChange} from '@figfall/decisions';
 import {
   Fleet,
   GATEWAY,
   GatewayCore,
   createGatewayMetrics,
+  hashText,
 } from '@figfall/gateway';
-import type {BackendClient} from '@figfall/gateway';
 import {createRandom} from '../random/create_random.js';
+import {createLimitedClient} from './create_limited_client.js';
+import {LIMITED_CONFIG} from './limited_config.js';
 import {LimitedServer} from './limited_server.js';
 import {VirtualClock} from './virtual_clock.js';
 
@@ -14,6 +16,11 @@
   readonly gateways: number;
   /** Requests a second that each server names; undefined for none. */
   readonly limits: readonly (number | undefined)[];
+  /**
+   * True if servers name their limits also when asked for their state.
+   * @default true
+   */
+  readonly namesInChecks?: boolean;
   /** @default 1 */
   readonly seed?: number;
 }
@@ -37,13 +44,8 @@
   readonly route?: 'read' | 'book';
 }
 
-/** One-way network delay between machines, in milliseconds. */
-const ONE_WAY_DELAY_MS = 0.5;
-
-/** Milliseconds that callers wait. */
-const TIMEOUT_MS = 4_000;
-
-const SERVICE = 'plain';
+/** Milliseconds until a message reaches another gateway. */
+const MESSAGE_DELAY_MS = 3;
 
 const SILENT_LOGGER = {
   debug: () => undefined,
@@ -52,32 +54,9 @@
   error: () => undefined,
 };
 
-const ROUTE = {
-  host: 'limited',
-  resumable: false,
-  trafficSplit: [{service: SERVICE, weight: 1}],
-  maxAttempts: 2,
-  timeoutMs: TIMEOUT_MS,
-  latencyTargetMs: 400,
-  pauseMs: 250,
-  isPublic: false,
-};
-
-const WORKSPACES = ['lindenau', 'werk', 'sued'];
-
-const CONFIG: ServingConfig = {
-  version: 1,
-  routes: [
-    {...ROUTE, name: 'read', pathPrefix: '/read/', kind: 'idempotent'},
-    {...ROUTE, name: 'book', pathPrefix: '/book/', kind: 'non-idempotent'},
-  ],
-  services: new Map([[SERVICE, {name: SERVICE, coldRequestsPerSecond: 0}]]),
-  workspaceByKey: new Map(WORKSPACES.map(name => [name, name])),
-  limits: {maxBodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000},
-};
-
 /** A gateway of the deployment. */
 interface Node {
+  readonly name: string;
   readonly fleet: Fleet;
   readonly core: GatewayCore;
   /** True while it is cut off from the other gateways. */
@@ -96,14 +75,20 @@
   private readonly random: () => number;
   private requestCount = 0;
 
-  constructor({gateways, limits, seed = 1}: DeploymentOptions) {
+  constructor({gateways, limits, namesInChecks, seed = 1}: DeploymentOptions) {
     this.random = createRandom(seed);
     this.servers = limits.map(
       (perSecond, i) =>
-        new LimitedServer({id: `server-${i}`, service: SERVICE, perSecond}),
+        new LimitedServer({
+          id: `server-${i}`,
+          service: 'plain',
+          perSecond,
+          namesInChecks,
+        }),
     );
     this.nodes = Array.from({length: gateways}, (_, i) => this.startNode(i));
     this.nodes.forEach((_, i) => this.tick(i));
+    this.publishLinks();
   }
 
   /** Sends one request of a caller now. */
@@ -126,12 +111,12 @@
       {
         requestId: `r${this.requestCount}`,
         method: 'GET',
-        host: ROUTE.host,
+        host: LIMITED_CONFIG.routes[0]?.host ?? '',
         target: `/${route}/`,
         headers: [],
         body: Buffer.alloc(0),
         apiKey: workspace,
-        timeoutMs: TIMEOUT_MS,
+        timeoutMs: LIMITED_CONFIG.routes[0]?.timeoutMs ?? 0,
         arrivedAt: sentAt,
       },
       {
@@ -162,12 +147,55 @@
     this.clock.schedule(time - this.clock.now(), run);
   }
 
+  /** Lets two gateways tell each other what a new link starts with. */
+  private link(a: Node, b: Node): void {
+    const tell = (from: Node, to: Node): void =>
+      from.fleet
+        .changesForNewPeer()
+        .forEach(change => to.fleet.applyRemoteChange(change, from.name));
+    tell(a, b);
+    tell(b, a);
+  }
+
+  private linkToOthers(node: Node): void {
+    this.nodes
+      .filter(other => other !== node && !other.isCut && !node.isCut)
+      .forEach(other => this.link(node, other));
+    this.publishLinks();
+  }
+
+  /** Cuts a gateway off from the others, or ends the cut. */
+  setCut(gateway: number, isCut: boolean): void {
+    const node = this.nodes[gateway];
+    if (!node) return;
+    node.isCut = isCut;
+    this.linkToOthers(node);
+  }
+
+  /** Replaces a gateway's process by a new one that knows nothing. */
+  restart(gateway: number): void {
+    const node = this.startNode(gateway);
+    this.nodes[gateway] = node;
+    this.linkToOthers(node);
+  }
+
   /** Publishes the listings of all servers to all gateways. */
   publishServers(): void {
     const listings = this.servers.map(server => server.listing());
     this.nodes.forEach(({core}) => core.setServers(listings));
   }
 
+  /** Tells each gateway which others it reaches. */
+  private publishLinks(): void {
+    const {length: total} = this.nodes;
+    this.nodes.forEach(({fleet, isCut}, own) => {
+      const linked = this.nodes.flatMap((other, i) =>
+        i === own || isCut || other.isCut ? [] : [`gateway-${i}`],
+      );
+      fleet.limits.permits.setGateways({linked, total});
+    });
+  }
+
   private startNode(index: number): Node {
     const name = `gateway-${index}`;
     const now = this.clock.now;
@@ -180,19 +208,26 @@
       onLimit: () => undefined,
       onPartBlocked: () => undefined,
       announce: change => this.announce(index, change),
+      gatewayId: name,
+      hash: hashText,
+      sendPermits: (to, message) =>
+        this.toOthers(index, (node, i) => {
+          if (`gateway-${i}` !== to) return;
+          node.fleet.limits.permits.receive(name, message);
+        }),
     });
     const core = new GatewayCore({
       fleet,
-      client: this.createClient(index, fleet),
+      client: createLimitedClient({...this, fleet, gateway: index}),
       logger: SILENT_LOGGER,
       metrics: createGatewayMetrics(name),
       random: this.random,
       now,
       retry: {ratio: 0.2, slack: 100},
     });
-    core.applyConfig(CONFIG);
+    core.applyConfig(LIMITED_CONFIG);
     core.setServers(this.servers.map(server => server.listing()));
-    return {fleet, core, isCut: false};
+    return {name, fleet, core, isCut: false};
   }
 
   private tick(index: number): void {
@@ -201,12 +236,15 @@
   }
 
   /** Delivers a message to the other gateways, unless a cut is between. */
-  private toOthers(from: number, deliver: (to: Node) => void): void {
+  private toOthers(
+    from: number,
+    deliver: (to: Node, index: number) => void,
+  ): void {
     const sender = this.nodes[from];
-    this.clock.schedule(ONE_WAY_DELAY_MS + GATEWAY.WORK_BATCH_MS / 2, () =>
-      this.nodes
-        .filter((node, i) => i !== from && !node.isCut && !sender?.isCut)
-        .forEach(deliver),
+    this.clock.schedule(MESSAGE_DELAY_MS, () =>
+      this.nodes.forEach((node, i) => {
+        if (i !== from && !node.isCut && !sender?.isCut) deliver(node, i);
+      }),
     );
   }
 
@@ -215,40 +253,4 @@
       fleet.applyRemoteChange(change, `gateway-${from}`),
     );
   }
-
-  private createClient(gateway: number, fleet: Fleet): BackendClient {
-    return {
-      send: (req, onEvent) => {
-        const askedAt = this.clock.now();
-        const server = this.servers.find(
-          other => other.listing().id === req.server.id,
-        );
-        let isCancelled = false;
-        this.clock.schedule(0, () => onEvent({type: 'sent'}));
-        this.clock.schedule(ONE_WAY_DELAY_MS, () =>
-          server?.arrive({at: this.clock.now(), gateway}),
-        );
-        const totalMs = 2 * ONE_WAY_DELAY_MS + (server?.serviceMs ?? 0);
-        this.clock.schedule(totalMs, () => {
-          if (isCancelled || !server) return;
-          const rateLimit = server.notice();
-          const notice = {isLeaving: false, pauseMs: 0, rateLimit, askedAt};
-          fleet.recordNotice(req.server, notice);
-          const head = {status: 200, headers: [], isCloseDelimited: false};
-          onEvent({type: 'response', head, body: Buffer.alloc(0)});
-        });
-        return {
-          cancel: () => {
-            isCancelled = true;
-          },
-          pause: () => undefined,
-          resume: () => undefined,
-        };
-      },
-      reserve: () => Promise.resolve('granted'),
-      release: () => Promise.resolve(),
-      check: () => Promise.resolve({isResponding: true}),
-      pruneConnections: () => undefined,
-    };
-  }
 }
--- a/playground/src/simulation/limited_server.ts
+++ b/playground/src/simulation/limited_server.ts
@@ -15,6 +15,11 @@
   readonly service: string;
   /** Requests a second that it names from the start. @default none */
   readonly perSecond?: number;
+  /**
+   * True if it names its limit also when asked for its state.
+   * @default true
+   */
+  readonly namesInChecks?: boolean;
 }
 
 /** A simulated plain backend server that names the request rate it takes. */
@@ -68,6 +73,12 @@
       : {type: 'named', perSecond};
   }
 
+  /** What it says of its limit when asked for its state. */
+  checkNotice(): RateLimitNotice {
+    const {namesInChecks = true} = this.options;
+    return namesInChecks ? this.notice() : {type: 'none'};
+  }
+
   /** Number of arrivals in a span of virtual time, in milliseconds. */
   arrivedBetween(from: number, to: number): number {
     return this.arrivals.filter(({at}) => at >= from && at < to).length;
--- a/playground/src/simulation/run_simulation.ts
+++ b/playground/src/simulation/run_simulation.ts
@@ -8,6 +8,7 @@
   GATEWAY,
   GatewayCore,
   createGatewayMetrics,
+  hashText,
 } from '@figfall/gateway';
 import type {BackendClient} from '@figfall/gateway';
 import {createRandom} from '../random/create_random.js';
@@ -125,6 +126,9 @@
       now: clock.now,
       onAvoided: () => undefined,
       onLimit: () => undefined,
+      gatewayId: owner,
+      hash: hashText,
+      sendPermits: () => undefined,
       onPartBlocked: () => undefined,
       announce: change => broadcast(owner, change),
     };
