fix(gateway): limited servers prefill parts of long prompts, not whole short ones

Cause: a limited server was left out of split prompts, and its few permits went to short prompts, which cost the least. Change: its permits go to parts of long prompts, one for each part, where it holds no memory; short prompts go to the other servers.

--- a/packages/decisions/src/limits/plan_limited_prompt.ts
+++ b/packages/decisions/src/limits/plan_limited_prompt.ts
@@ -4,19 +4,25 @@
 import type {PromptPlan} from '../serving/prompt_plan.js';
 import type {PromptRequest} from '../serving/prompt_request.js';
 
-/** True if a prompt would start on a single server. */
-function startsAlone(
-  plan: PromptPlan | undefined,
-): plan is Extract<PromptPlan, {type: 'start'}> {
-  return plan?.type === 'start' && plan.placement.helpers.length === 0;
+/** True if limited servers would have to hold KV cache for the prompt. */
+function reservesOnLimited(
+  plan: PromptPlan,
+  limited: readonly Candidate[],
+): boolean {
+  if (plan.type !== 'start') return false;
+  const ids = new Set(limited.map(({server}) => server.id));
+  return plan.placement.helpers.some(
+    ({serverId, reservedTokens}) => reservedTokens > 0 && ids.has(serverId),
+  );
 }
 
 /**
- * Plans a prompt where some candidates have named request rates. Each part of a
- * split prompt is a request to its server, so such a server takes whole prompts
- * only: those that would start on a single server anyway, if it is no later
- * there, or any prompt if there is no other server. Answers the load of all
- * gateways on the servers of a service.
+ * Plans a prompt where some candidates have named request rates and have a
+ * permit for one request each. Such a server has time for the few requests that
+ * it takes, so these are parts of long prompts; short prompts go to the others.
+ * It holds no KV cache, which costs further requests. If there are no others, a
+ * prompt runs whole on one server. Answers the load of all gateways on the
+ * servers of a service.
  */
 export function planLimitedPrompt(
   candidates: readonly Candidate[],
@@ -25,15 +31,14 @@
   const limited = candidates.filter(({rateLimit}) => rateLimit);
   if (limited.length === 0) return planPrompt(candidates, request);
   const others = candidates.filter(({rateLimit}) => !rateLimit);
-  const priced = placeSplitPrompt(limited, request, 1);
-  const alone: PromptPlan | undefined = priced && {
-    type: 'start',
-    placement: priced.placement,
-  };
-  if (others.length === 0) return alone;
+  if (others.length === 0) {
+    const alone = placeSplitPrompt(limited, request, 1);
+    return alone && {type: 'start', placement: alone.placement};
+  }
   const plan = planPrompt(others, request);
-  if (!startsAlone(plan) || !startsAlone(alone)) return plan;
-  return alone.placement.firstEventMs <= plan.placement.firstEventMs
-    ? alone
-    : plan;
+  const startsAlone =
+    plan?.type === 'start' && plan.placement.helpers.length === 0;
+  if (startsAlone) return plan;
+  const shared = planPrompt(candidates, request);
+  return shared && !reservesOnLimited(shared, limited) ? shared : plan;
 }
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -6,6 +6,7 @@
 import type {BackendEvent} from '../ports/backend_event.js';
 import {AttemptWork} from './attempt_work.js';
 import type {CallSpec} from './call_spec.js';
+import {placementServers} from './placement_servers.js';
 import {ReservationGroup} from './reservation_group.js';
 
 interface BackendAttemptOptions {
@@ -101,13 +102,17 @@
   end(): void {
     if (this.hasEnded) return;
     this.hasEnded = true;
-    const {fleet, server} = this.options;
-    if (!this.exchange) fleet.limits.giveBack(server.id);
+    if (!this.exchange) this.giveBackPermits();
     this.exchange?.cancel();
     this.reservations?.release();
     this.work.endAll();
   }
 
+  private giveBackPermits(): void {
+    const {fleet, placement} = this.options;
+    placementServers(placement).forEach(id => fleet.limits.giveBack(id));
+  }
+
   private onPrimaryLost(): void {
     if (this.hasEnded) return;
     const reason = 'The backend server no longer responds.';
@@ -145,7 +150,7 @@
       return [{server: helper, reservationId}];
     });
     this.sentAt = now();
-    fleet.limits.recordSend(server.id);
+    placementServers(placement).forEach(id => fleet.limits.recordSend(id));
     this.exchange = client.send(
       {
         requestId: req.requestId,
--- a/packages/gateway/src/calls/call_attempts.ts
+++ b/packages/gateway/src/calls/call_attempts.ts
@@ -8,6 +8,7 @@
 import type {BackendEvent} from '../ports/backend_event.js';
 import {BackendAttempt} from './backend_attempt.js';
 import type {GatewayCallContext} from './gateway_call_context.js';
+import {placementServers} from './placement_servers.js';
 
 interface AttemptTarget {
   readonly attemptId: string;
@@ -59,7 +60,7 @@
       const message = 'Too many requests are being retried.';
       return err(lastFailure ?? createFailure('retry-budget', message));
     }
-    fleet.limits.take(placement.value.serverId);
+    placementServers(placement.value).forEach(id => fleet.limits.take(id));
     this.placed += 1;
     observer.onPlaced(spec, placement.value, this.placed);
     return ok(placement.value);
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -17,6 +17,7 @@
 import type {PlaceOptions} from './place_options.js';
 import type {Placement} from './placement.js';
 import {mayBeSentTo} from './may_be_sent_to.js';
+import {mayUseLimited} from './may_use_limited.js';
 import {planRequest} from './plan_request.js';
 import {LimitWaits} from './limit_waits.js';
 import {RateLimits} from './rate_limits.js';
@@ -86,6 +87,7 @@
     if (delay) return err(delay);
     const candidates = all.filter(mayBeSentTo);
     const plan = this.plan(spec, candidates, options);
+    if (mayUseLimited(spec, plan)) this.limits.wantForLater(all);
     const {requestId} = spec.req;
     if (plan?.type === 'wait') {
       if (!options.isHedge) this.work.startWait(requestId, plan.rank);
--- a/packages/gateway/src/core/limit_waits.ts
+++ b/packages/gateway/src/core/limit_waits.ts
@@ -62,9 +62,6 @@
     if (limited.length === 0) return undefined;
     if (limited.length < candidates.length) {
       this.leave(spec.req.requestId);
-      limited.forEach(({server}) =>
-        this.options.limits.permits.want(server, 1),
-      );
       return undefined;
     }
     if (!isHedge) return this.judge(spec, limited, lastEventAt !== undefined);
--- a/packages/gateway/src/core/rate_limits.ts
+++ b/packages/gateway/src/core/rate_limits.ts
@@ -73,6 +73,13 @@
     return {perSecond, permits: this.permits.usable(server)};
   }
 
+  /** Asks for a permit of each limited server that has none, for the next. */
+  wantForLater(candidates: readonly Candidate[]): void {
+    candidates
+      .filter(({rateLimit}) => rateLimit?.permits === 0)
+      .forEach(({server}) => this.permits.want(server, 1));
+  }
+
   /** Uses a permit for a request to a server, if that has a limit. */
   take(serverId: string): void {
     const server = this.options.find(serverId);
