--- a/packages/gateway/src/__tests__/peer_table.test.ts
+++ b/packages/gateway/src/__tests__/peer_table.test.ts
@@ -100,3 +100,30 @@
   table.announceRevision('servers', 8, 1);
   expect(links[3]?.sent.some(({type}) => type === 'seen')).toEqual(false);
 });
+
+test('limits are divided by all gateways, also by those behind a cut', () => {
+  const {table, clock} = setUp();
+  table.addAddresses([OTHER, {host: '10.0.0.4', port: 1}]);
+  expect(table.gateways()).toEqual({linked: [], total: 4});
+  const {link} = fakeLink('10.0.0.1:1');
+  table.addLink(link);
+  clock.now += 60_000;
+  table.tick();
+  expect(table.gateways()).toEqual({linked: ['10.0.0.1:1'], total: 4});
+  table.addLink(fakeLink('10.0.0.3:1').link);
+  table.tick();
+  expect(table.gateways().total).toEqual(3);
+  table.removeLink(link);
+  expect(table.gateways().total).toEqual(3);
+});
+
+test('a message about permits goes to the gateway it is for', () => {
+  const {table} = setUp();
+  const links = ['10.0.0.1:1', '10.0.0.3:1'].map(fakeLink);
+  links.forEach(({link}) => table.addLink(link));
+  const message = {type: 'permits', grants: []} as const;
+  table.sendTo('10.0.0.3:1', message);
+  table.sendTo('unknown', message);
+  const received = links.map(({sent}) => sent.includes(message));
+  expect(received).toEqual([false, true]);
+});
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -17,6 +17,7 @@
 import type {Fleet} from './fleet.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {LimitChecks} from './limit_checks.js';
+import type {PermitGateways} from './permit_gateways.js';
 import {StartupQueue} from './startup_queue.js';
 
 interface GatewayCoreOptions {
@@ -95,9 +96,13 @@
     if (this.hasInitialState()) this.startupQueue.flush();
   }
 
-  /** Sets the number of gateways that share the retry budget. */
-  setGatewayCount(count: number): void {
-    this.gatewayCount = Math.max(1, count);
+  /**
+   * Sets the gateways that share the retry budget and the limits of servers.
+   * One that is not linked counts, too: it may be at work behind a cut.
+   */
+  setGateways(gateways: PermitGateways): void {
+    this.gatewayCount = gateways.total;
+    this.options.fleet.limits.permits.setGateways(gateways);
   }
 
   /** True if there is a configuration and no shutdown has started. */
