--- a/playground/src/__tests__/check_invariants.test.ts
+++ b/playground/src/__tests__/check_invariants.test.ts
@@ -245,3 +245,41 @@
     'leaked-reservation',
   ]);
 });
+
+function limitNotice(requestId: string, at: number) {
+  const notice = {serverId: 'a', isLeaving: false, pauseMs: 0};
+  return {...notice, requestId, at, limitPerSecond: 1};
+}
+
+/** Requests of gateway `g` to a server that named a limit of 1 a second. */
+function arrivalsAt(count: number, from: number) {
+  return Array.from({length: count}, (_, i) => ({
+    requestId: 'r1',
+    serverId: 'a',
+    at: from + i * 100,
+  }));
+}
+
+test('more requests than a server takes from all gateways are reported', () => {
+  const noticeResponses = [limitNotice('r1', 1_000), limitNotice('r2', 9_000)];
+  const check = (change: Partial<SoakObservations>) =>
+    checkInvariants({...NO_VIOLATIONS, noticeResponses, ...change}).filter(
+      line => line.startsWith('sent-over-limit'),
+    ).length;
+  expect(check({arrivals: arrivalsAt(12, 5_000)})).toEqual(1);
+  expect(check({arrivals: arrivalsAt(11, 5_000)})).toEqual(0);
+  expect(check({arrivals: arrivalsAt(12, 1_000)})).toEqual(0);
+  expect(check({arrivals: arrivalsAt(30, 9_100)})).toEqual(0);
+  const gatewayDisruptions = [
+    {gateway: 'g', cause: 'pause' as const, from: 4_000, to: 4_500},
+  ];
+  const arrivals = arrivalsAt(12, 5_000);
+  expect(check({arrivals, gatewayDisruptions})).toEqual(0);
+});
+
+test('requests of gateways that were not told of a limit do not count', () => {
+  const noticeResponses = [limitNotice('r5', 1_000), limitNotice('r5', 9_000)];
+  const arrivals = arrivalsAt(12, 5_000);
+  const observations = {...NO_VIOLATIONS, noticeResponses, arrivals};
+  expect(checkInvariants(observations)).toEqual([]);
+});
--- a/playground/src/__tests__/plan_soak_actions.test.ts
+++ b/playground/src/__tests__/plan_soak_actions.test.ts
@@ -14,13 +14,13 @@
   expect(starts).toEqual(starts.toSorted((a, b) => a - b));
 });
 
-test('50 seeds together draw all 23 types of actions', () => {
+test('50 seeds together draw all 24 types of actions', () => {
   const types = new Set(
     Array.from({length: 50}, (_, seed) => planSoakActions({...OPTIONS, seed}))
       .flat()
       .map(({type}) => type),
   );
-  expect(types.size).toEqual(23);
+  expect(types.size).toEqual(24);
 });
 
 /** Digest of the actions that seeds drew before silences were added. */
@@ -32,7 +32,7 @@
 test('kept seeds keep the actions that they drew before silences were added', () => {
   Object.entries(FORMER_PLANS).forEach(([seed, digest]) => {
     const former = planSoakActions({...OPTIONS, seed: Number(seed)}).filter(
-      ({type}) => type !== 'server-silence',
+      ({type}) => type !== 'server-silence' && type !== 'server-limit',
     );
     const text = JSON.stringify(former);
     expect(createHash('sha256').update(text).digest('hex')).toEqual(digest);
--- a/playground/src/soak/check_invariants.ts
+++ b/playground/src/soak/check_invariants.ts
@@ -4,6 +4,7 @@
 } from '@figfall/gateway-server/testing';
 import {checkCrashingPrompts} from './check_crashing_prompts.js';
 import {checkSoundPrompts} from './check_sound_prompts.js';
+import {checkServerLimits} from './check_server_limits.js';
 import {checkServerNotices} from './check_server_notices.js';
 import {checkUnanswered} from './check_unanswered.js';
 import {DRAIN_LIMIT_MS} from './drain_limit_ms.js';
@@ -160,6 +161,7 @@
   checkForwardedRequests,
   checkDrains,
   checkServerNotices,
+  checkServerLimits,
   checkCrashingPrompts,
   checkSoundPrompts,
   checkUnanswered,
--- a/playground/src/soak/create_server_handlers.ts
+++ b/playground/src/soak/create_server_handlers.ts
@@ -62,6 +62,11 @@
     'server-leave': action => targetServer(action).leave(),
     'server-pause': action =>
       targetServer(action).backend.pauseFor(action.durationMs),
+    'server-limit': action => {
+      const {notices} = targetServer(action).backend;
+      notices.nameLimit(action.perSecond);
+      schedule(action.durationMs, () => notices.nameLimit(undefined));
+    },
     'server-silence': action =>
       targetServer(action).backend.fallSilent(action.durationMs),
     'server-reset-connections': action =>
--- a/playground/src/soak/plan_soak_actions.ts
+++ b/playground/src/soak/plan_soak_actions.ts
@@ -1,4 +1,5 @@
 import {createRandom} from '../random/create_random.js';
+import {planLimits} from './plan_limits.js';
 import {planSilences} from './plan_silences.js';
 import type {SoakAction} from './soak_action.js';
 
@@ -61,6 +62,7 @@
 const LATER_SEED_OFFSET = 1_000_003;
 const PROMPT_SEED_OFFSET = 2_000_003;
 const SILENCE_SEED_OFFSET = 3_000_003;
+const LIMIT_SEED_OFFSET = 4_000_003;
 
 const MEAN_INTERVAL_MS = 450;
 const LATER_MEAN_INTERVAL_MS = 1_200;
@@ -120,7 +122,11 @@
       .filter(({type}) => type === 'config-change')
       .map(({startMs}) => startMs),
   });
-  return [...first, ...later, ...prompts, ...silences].toSorted(
+  const limits = planLimits({
+    ...options,
+    seed: options.seed + LIMIT_SEED_OFFSET,
+  });
+  return [...first, ...later, ...prompts, ...silences, ...limits].toSorted(
     (a, b) => a.startMs - b.startMs,
   );
 }
--- a/playground/src/soak/planted_fault.ts
+++ b/playground/src/soak/planted_fault.ts
@@ -1,6 +1,8 @@
-/** A fault that is planted at the callers' sockets so that a check reports it. */
+/** A fault that is planted so that a check reports it. */
 export type PlantedFault =
-  /** Connections end instead of the response. */
+  /** Callers' connections end instead of the response. */
   | 'drop-answer'
-  /** Connections end after the first bytes of the body. */
-  | 'cut-answer';
+  /** Callers' connections end after the first bytes of the body. */
+  | 'cut-answer'
+  /** Servers name request rates, but their responses do not say so. */
+  | 'unsaid-limit';
--- a/playground/src/soak/run_planted_faults.ts
+++ b/playground/src/soak/run_planted_faults.ts
@@ -6,11 +6,15 @@
 const REPORTED_BY: Readonly<Record<PlantedFault, string>> = {
   'drop-answer': 'unanswered',
   'cut-answer': 'unanswered',
+  'unsaid-limit': 'sent-over-limit',
 };
 
-/** Short, since a planted fault hits callers from the start. */
+/** Short, since a planted fault is there from the start. */
 const SIZE = {durationMs: 2_000, gateways: 2, callers: 10};
 
+/** Long enough for a limit to bind, and for a window after that. */
+const LIMIT_SIZE = {...SIZE, durationMs: 9_000};
+
 interface PlantedResult {
   readonly fault: string;
   /** Number of lines of the check that has to report the fault. */
@@ -26,7 +30,8 @@
   const results: PlantedResult[] = [];
   for (const [fault, check] of Object.entries(REPORTED_BY)) {
     const plantedFault = fault as PlantedFault;
-    const {violations, folder} = await runSoak({seed, ...SIZE, plantedFault});
+    const size = plantedFault === 'unsaid-limit' ? LIMIT_SIZE : SIZE;
+    const {violations, folder} = await runSoak({seed, ...size, plantedFault});
     rmSync(folder, {recursive: true, force: true});
     const others = violations.filter(line => !line.startsWith(`${check} `));
     const reported = violations.length - others.length;
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -4,6 +4,7 @@
 import {checkInvariants} from './check_invariants.js';
 import {countAnswers} from './count_answers.js';
 import {CrashingPrompts} from './crashing_prompts.js';
+import {planPlantedFault} from './plan_planted_fault.js';
 import {planSoakActions} from './plan_soak_actions.js';
 import type {PlantedFault} from './planted_fault.js';
 import {sendFinalRequests} from './send_final_requests.js';
@@ -128,6 +129,7 @@
     subnetIndex,
     now,
     crashesOn: parts => crashing.crashesOn(parts),
+    hidesLimit: plantedFault === 'unsaid-limit',
   });
   const callers = new SoakCallers({
     seed,
@@ -148,7 +150,7 @@
   });
   const servers = modelEngines + plainServices;
   const plan = plantedFault
-    ? []
+    ? planPlantedFault(plantedFault, {servers, durationMs})
     : planSoakActions({seed, durationMs, gateways, servers});
   await pollUntil(() => isServing(callers, deployment), RECOVERY_LIMIT_MS);
   const callersDone = callers.run();
--- a/playground/src/soak/soak_action.ts
+++ b/playground/src/soak/soak_action.ts
@@ -35,4 +35,9 @@
     }
   | {readonly type: 'store-fault'; readonly fault: StoreFault}
   | {readonly type: 'server-fault'; readonly fault: BackendFault}
+  | {
+      readonly type: 'server-limit';
+      /** Requests a second that the server takes from all gateways. */
+      readonly perSecond: number;
+    }
 );
--- a/playground/src/soak/soak_callers.ts
+++ b/playground/src/soak/soak_callers.ts
@@ -48,7 +48,11 @@
 /** One in so many requests of callers is hit by a planted fault. */
 const PLANTED_INTERVAL = 50;
 
-const PLANTED_CUTS = {'drop-answer': 'response', 'cut-answer': 'body'} as const;
+const PLANTED_CUTS = {
+  'drop-answer': 'response',
+  'cut-answer': 'body',
+  'unsaid-limit': undefined,
+} as const;
 
 /** Probability that a caller may disconnect before the response is complete. */
 const DISCONNECT_PROBABILITY = 0.08;
--- a/playground/src/soak/soak_fault_injector.ts
+++ b/playground/src/soak/soak_fault_injector.ts
@@ -60,6 +60,7 @@
       relay.setPartitioned(false);
       relay.setStallOnResponse(false);
       backend.setFault('none');
+      backend.notices.nameLimit(undefined);
     });
     await Promise.all(this.pendingStops);
     await Promise.all(servers.map(server => server.recover()));
--- a/playground/src/soak/soak_server.ts
+++ b/playground/src/soak/soak_server.ts
@@ -22,6 +22,8 @@
   readonly onNotice: (notice: NoticeResponse) => void;
   /** True if a prompt with these parts crashes a model engine. */
   readonly crashesOn: (promptParts: string) => boolean;
+  /** True if it keeps its request rate to itself. */
+  readonly hidesLimit: boolean;
   /** Writes the store's entry of a server. */
   readonly putEntry: (serverId: string, entry: object) => void;
   /** Removes the store's entry of a server. */
@@ -62,6 +64,7 @@
       onArrival: options.onArrival,
       onRunEnd: options.onRunEnd,
       onNotice: options.onNotice,
+      hidesLimit: options.hidesLimit,
       crashesOn: parts => this.crashOn(parts),
     });
   }
--- a/playground/src/soak/start_soak_deployment.ts
+++ b/playground/src/soak/start_soak_deployment.ts
@@ -31,6 +31,8 @@
   readonly now: () => number;
   /** True if a prompt with these parts crashes a model engine. */
   readonly crashesOn: (promptParts: string) => boolean;
+  /** True if servers keep their request rates to themselves. */
+  readonly hidesLimit: boolean;
 }
 
 /** A gateway process with the relay between it and the store. */
@@ -115,6 +117,7 @@
         onRunEnd: run => runs.push(run),
         onNotice: notice => noticeResponses.push(notice),
         crashesOn: options.crashesOn,
+        hidesLimit: options.hidesLimit,
         putEntry: (serverId, entry) => store.put('servers', serverId, entry),
         removeEntry: serverId => store.remove('servers', serverId),
       }),
