--- a/playground/src/simulation/limited_deployment.ts
+++ b/playground/src/simulation/limited_deployment.ts
@@ -10,6 +10,7 @@
 import {createLimitedClient} from './create_limited_client.js';
 import {LIMITED_CONFIG} from './limited_config.js';
 import {LimitedServer} from './limited_server.js';
+import {SILENT_LOGGER} from './silent_logger.js';
 import {VirtualClock} from './virtual_clock.js';
 
 interface DeploymentOptions {
@@ -47,13 +48,6 @@
 /** Milliseconds until a message reaches another gateway. */
 const MESSAGE_DELAY_MS = 3;
 
-const SILENT_LOGGER = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 /** A gateway of the deployment. */
 interface Node {
   readonly name: string;
--- a/playground/src/simulation/run_simulation.ts
+++ b/playground/src/simulation/run_simulation.ts
@@ -14,6 +14,7 @@
 import {createRandom} from '../random/create_random.js';
 import {BaselineFleet} from './baseline_fleet.js';
 import {createSimulatedClient} from './create_simulated_client.js';
+import {SILENT_LOGGER} from './silent_logger.js';
 import {SimulatedCaller} from './simulated_caller.js';
 import type {SimulatedEngine} from './simulated_engine.js';
 import type {SimulatedRequest} from './simulated_request.js';
@@ -49,13 +50,6 @@
 /** Default one-way network delay between machines. */
 const ONE_WAY_DELAY_MS = 0.5;
 
-const SILENT_LOGGER = {
-  debug: () => undefined,
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-};
-
 function gatewayName(index: number): string {
   return `gateway-${index}`;
 }
