--- a/packages/gateway/src/core/add_fleet_gauges.ts
+++ b/packages/gateway/src/core/add_fleet_gauges.ts
@@ -22,7 +22,7 @@
   valueOf: (status: LimitStatus) => number,
 ): void {
   gauge.reset();
-  limits.limitedServers().forEach(server => {
+  limits.limitedServerIds().forEach(server => {
     const status = limits.status(server);
     if (status) gauge.set({server}, valueOf(status));
   });
--- a/packages/gateway/src/core/limit_book.ts
+++ b/packages/gateway/src/core/limit_book.ts
@@ -49,7 +49,7 @@
   }
 
   /** All server processes that have a limit. */
-  ratedServers() {
+  limitedServers() {
     return [...this.known].flatMap(([id, {processStartedAt, perSecond}]) =>
       perSecond === undefined ? [] : [{id, processStartedAt, perSecond}],
     );
@@ -106,13 +106,13 @@
 
   /** Changes that tell another gateway of all limits. */
   changesForNewPeer(): readonly WorkChange[] {
-    return this.ratedServers().flatMap(({id}) => this.changeOf(id) ?? []);
+    return this.limitedServers().flatMap(({id}) => this.changeOf(id) ?? []);
   }
 
   removeExpired(isListed: (serverId: string) => boolean): void {
     const {now} = this.options;
     this.known = knownLimits.removeExpired(this.known, isListed, now());
-    const keys = new Set(this.ratedServers().map(serverProcessId));
+    const keys = new Set(this.limitedServers().map(serverProcessId));
     [...this.namedInChecks]
       .filter(key => !keys.has(key))
       .forEach(key => this.namedInChecks.delete(key));
--- a/packages/gateway/src/core/rate_limits.ts
+++ b/packages/gateway/src/core/rate_limits.ts
@@ -11,7 +11,10 @@
 type ServerProcess = Pick<BackendServer, 'id' | 'processStartedAt'>;
 
 type RateLimitsOptions = ConstructorParameters<typeof LimitBook>[0] &
-  Omit<ConstructorParameters<typeof RatePermits>[0], 'ratedServers'> & {
+  Omit<
+    ConstructorParameters<typeof RatePermits>[0],
+    'limitedServers' | 'limitOf'
+  > & {
     /** The listed server with an id. */
     readonly find: (serverId: string) => BackendServer | undefined;
   };
@@ -40,7 +43,8 @@
     this.book = new LimitBook(options);
     this.permits = new RatePermits({
       ...options,
-      ratedServers: () => this.book.ratedServers(),
+      limitedServers: () => this.book.limitedServers(),
+      limitOf: server => this.book.find(server)?.perSecond,
     });
   }
 
@@ -50,7 +54,7 @@
    */
   serversToCheck(): readonly BackendServer[] {
     return this.book
-      .ratedServers()
+      .limitedServers()
       .filter(({perSecond}) => perSecond < CHECK_BELOW_PER_SECOND)
       .filter(server => this.permits.isIssuerOf(server))
       .flatMap(({id}) => this.options.find(id) ?? []);
@@ -131,7 +135,7 @@
   }
 
   /** Ids of the listed servers that have a limit. */
-  limitedServers(): readonly string[] {
+  limitedServerIds(): readonly string[] {
     return this.book.serverIds().filter(id => this.limitOf(id));
   }
 
--- a/packages/gateway/src/core/rate_permits.ts
+++ b/packages/gateway/src/core/rate_permits.ts
@@ -18,7 +18,7 @@
 type ServerProcess = Pick<BackendServer, 'id' | 'processStartedAt'>;
 
 /** A server's process and the request rate that it has named. */
-type RatedServer = ServerProcess & {readonly perSecond: number};
+type LimitedServer = ServerProcess & {readonly perSecond: number};
 
 interface RatePermitsOptions {
   /** Id of this gateway among all gateways. */
@@ -26,7 +26,9 @@
   readonly hash: HashFunction;
   readonly now: () => number;
   /** All servers that are known to have a limit. */
-  readonly ratedServers: () => readonly RatedServer[];
+  readonly limitedServers: () => readonly LimitedServer[];
+  /** A server's limit in requests a second; undefined if it has none. */
+  readonly limitOf: (server: ServerProcess) => number | undefined;
   /** Sends a message to a linked gateway. */
   readonly sendPermits: (gatewayId: string, message: PermitMessage) => void;
 }
@@ -91,7 +93,7 @@
 
   /** Sends what is due to issuers, and hands out own permits that are due. */
   tick(): void {
-    const servers = this.options.ratedServers();
+    const servers = this.options.limitedServers();
     this.forgetUnlimited(servers);
     const requests = new Map<string, PermitRequest[]>();
     servers.forEach(server => this.collectReport(server, requests));
@@ -125,12 +127,11 @@
     {serverId: id, processStartedAt, ...usage}: PermitRequest,
     grants: Map<string, PermitGrant[]>,
   ): void {
-    const key = serverProcessId({id, processStartedAt});
-    const server = this.options
-      .ratedServers()
-      .find(other => serverProcessId(other) === key);
+    const perSecond = this.options.limitOf({id, processStartedAt});
     // Its limit has ended, or is not known here yet.
-    if (!server) return;
+    if (perSecond === undefined) return;
+    const server = {id, processStartedAt, perSecond};
+    const key = serverProcessId(server);
     const now = this.options.now();
     const before = this.issuers.get(key) ?? permitIssuer.create(now);
     const limits = this.limitsOf(server);
@@ -140,7 +141,7 @@
   }
 
   private collectReport(
-    server: RatedServer,
+    server: LimitedServer,
     requests: Map<string, PermitRequest[]>,
   ): void {
     const issuer = this.findIssuer(server);
@@ -158,7 +159,7 @@
 
   /** Hands out a server's permits; the gateways `asking` get an answer anyway. */
   private collectGrants(
-    server: RatedServer,
+    server: LimitedServer,
     grants: Map<string, PermitGrant[]>,
     asking: readonly string[] = [],
   ): void {
@@ -197,7 +198,7 @@
     sendPermits(gateway, message);
   }
 
-  private limitsOf({perSecond}: RatedServer) {
+  private limitsOf({perSecond}: LimitedServer) {
     return {perSecond, gateways: this.gateways.total};
   }
 
