--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -6,6 +6,24 @@
 /** Milliseconds that a client waits beyond its deadline. */
 const PATIENCE_MS = 1_000;
 
+/**
+ * Tells whether the connection of an answer without a length was reset. Node.js
+ * reports a reset that comes together with data as a regular end; only the
+ * peer's address is missing then.
+ */
+function detectReset({socket, headers}) {
+  let wasReset = false;
+  const isDelimited =
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined;
+  if (!isDelimited) {
+    socket.prependOnceListener('end', () => {
+      wasReset = socket.remoteAddress === undefined;
+    });
+  }
+  return () => wasReset;
+}
+
 /**
  * Sends one request and resolves to what the client saw. `ended` is `complete`
  * if HTTP calls the answer whole, `broken` if the connection failed before, and
@@ -55,15 +73,10 @@
       res.on('data', chunk => {
         seen.body += chunk;
       });
-      // Node.js reports a reset that comes together with data as a regular end;
-      // the socket has no peer then.
-      let wasReset = false;
-      res.socket.prependOnceListener('end', () => {
-        wasReset = res.socket.remoteAddress === undefined;
-      });
+      const wasReset = detectReset(res);
       res.on('end', () => {
-        const isWhole = res.complete && !wasReset;
-        finish(isWhole ? 'complete' : 'broken', wasReset ? 'reset' : undefined);
+        const isWhole = res.complete && !wasReset();
+        finish(isWhole ? 'complete' : 'broken');
       });
     });
     req.end(body);
--- a/review/lib/run_case.mjs
+++ b/review/lib/run_case.mjs
@@ -12,8 +12,8 @@
 
 const LIMIT_MS = 118_000;
 
-/** Exit codes of a case. */
-const EXIT = {held: 0, broken: 1, failed: 2};
+/** Exit codes, which `run.sh` maps; Node.js itself ends with 1 if it fails. */
+const EXIT = {held: 0, broken: 10, failed: 2};
 
 const ZONES = ['nord', 'werk', 'sued'];
 
@@ -77,6 +77,13 @@
     if (process.env.KEEP !== '1') rmSync(scratch, {recursive: true});
     process.exit(code);
   };
+  ['SIGTERM', 'SIGINT', 'uncaughtException', 'unhandledRejection'].forEach(
+    event =>
+      process.once(event, cause => {
+        record('ended early', {event, cause: String(cause?.stack ?? cause)});
+        void end(EXIT.failed);
+      }),
+  );
   setTimeout(() => {
     record('time limit');
     void end(EXIT.failed);
