--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -10,14 +10,16 @@
 import {FakeReplica} from '../lib/replica.mjs';
 import {runCase} from '../lib/run_case.mjs';
 
-const REPLICAS = 3;
+const REPLICAS = 2;
 
-/** Clients of each gateway, each with a connection that it keeps. */
-const CLIENTS = 6;
-const PLAY_MS = 42_000;
+/** Clients of the gateways, each with a connection that it keeps. */
+const CLIENTS = [12, 3, 3];
+const PLAY_MS = 40_000;
 
-/** Times in milliseconds of the crashes of one replica, and until it is back. */
-const CRASHES_AT_MS = [4_000, 10_000, 16_000, 22_000, 28_000, 34_000];
+/** Crashes of one replica each, and the milliseconds between them. */
+const CRASHES = 4;
+const CRASH_INTERVAL_MS = 9_000;
+const FIRST_CRASH_MS = 4_000;
 const BACK_MS = 4_500;
 
 /** Milliseconds until a process that ended is started again. */
@@ -49,18 +51,21 @@
     await replica.start();
   }
   let ends = 0;
-  const startGateway = async gateway => {
-    await gateway.start();
+  const restartAtEnd = gateway =>
     gateway.child.once('exit', (code, signal) => {
       if (gateway.isStopping) return;
       ends += 1;
       const lines = gateway.stderr.split('\n');
       const reason = lines.findLast(line => line.includes('Error'));
       record('gateway ended', {gateway: gateway.name, code, signal, reason});
-      timers.set(() => void startGateway(gateway), RESTART_MS);
+      timers.set(() => void restart(gateway), RESTART_MS);
     });
+  const restart = async gateway => {
+    await gateway.spawn();
+    restartAtEnd(gateway);
   };
-  await Promise.all(gateways.map(startGateway));
+  await Promise.all(gateways.map(gateway => gateway.start()));
+  gateways.forEach(restartAtEnd);
   if (hasTrouble) {
     const address = '127.0.0.1:80800';
     const entry = {service: 'app', address, zone: 'nord', version: 'v1'};
@@ -73,13 +78,16 @@
   const startedAt = Date.now();
   const crashed = new Set();
   if (hasTrouble) {
-    CRASHES_AT_MS.forEach((ms, i) =>
-      timers.set(() => {
-        const replica = ctx.replicas[i % REPLICAS];
-        record('replica crashes', {replica: replica.id});
-        crashed.add(replica.id);
-        replica.crash({backMs: BACK_MS});
-      }, ms),
+    Array.from({length: CRASHES}, (_, i) =>
+      timers.set(
+        () => {
+          const replica = ctx.replicas[i % REPLICAS];
+          record('replica crashes', {replica: replica.id});
+          crashed.add(replica.id);
+          replica.crash({backMs: BACK_MS});
+        },
+        FIRST_CRASH_MS + i * CRASH_INTERVAL_MS,
+      ),
     );
   }
   const answers = [];
@@ -102,8 +110,8 @@
     agent.destroy();
   };
   await Promise.all(
-    gateways.flatMap(gateway =>
-      Array.from({length: CLIENTS}, () => runClient(gateway)),
+    gateways.flatMap((gateway, i) =>
+      Array.from({length: CLIENTS[i]}, () => runClient(gateway)),
     ),
   );
   const cut = answers.filter(({isCut}) => isCut);
--- a/review/lib/gateway.mjs
+++ b/review/lib/gateway.mjs
@@ -66,6 +66,12 @@
   }
 
   async start() {
+    await this.spawn();
+    await this.#untilReady();
+  }
+
+  /** Starts the process without waiting until it is ready. */
+  async spawn() {
     this.port ??= await freePort(this.host);
     this.readyPort ??= await freePort(this.host);
     const path = join(this.folder, `${this.name}.json`);
@@ -85,7 +91,6 @@
     this.stderr = '';
     this.child.stderr.on('data', chunk => (this.stderr += chunk));
     this.child.on('exit', (code, signal) => (this.exit = {code, signal}));
-    await this.#untilReady();
   }
 
   kill(signal) {
