--- a/packages/decisions/src/errors/error_definitions.ts
+++ b/packages/decisions/src/errors/error_definitions.ts
@@ -83,6 +83,12 @@
     retryAfterMs: 1_000,
   },
   'server-out': {status: 503, ran: 'no', retryElsewhere: true},
+  'send-failed': {
+    status: 503,
+    ran: 'no',
+    retryElsewhere: true,
+    retryAfterMs: 2_000,
+  },
   leaving: {status: 503, ran: 'no', retryElsewhere: true},
   'cold-start-limit': {
     status: 503,
--- /dev/null
+++ b/packages/gateway/src/__tests__/defects.test.ts
@@ -0,0 +1,65 @@
+import {test} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {expect} from 'earl';
+import {gatewayFixture} from './gateway_fixture.js';
+
+const HEAD = {status: 200, headers: [], isCloseDelimited: false};
+
+/** Fails to send to one server, or to all. */
+function failTo(gateway: ReturnType<typeof gatewayFixture>, ids: string[]) {
+  const tried: string[] = [];
+  gateway.sending.check = ({server}) => {
+    tried.push(server.id);
+    if (ids.includes(server.id)) throw new RangeError('Invalid header');
+  };
+  return tried;
+}
+
+test('a request that cannot be sent to one server goes to another (LOST)', async () => {
+  const gateway = gatewayFixture(['a', 'b']);
+  const tried = failTo(gateway, ['a']);
+  const calls = Array.from({length: 4}, () => gateway.serve('/book/1'));
+  await nextTurn();
+  gateway.attempts.forEach(({emit}) => {
+    emit({type: 'sent'});
+    emit({type: 'response', head: HEAD, body: Buffer.from('booked')});
+  });
+  expect(calls.map(({received}) => received.text)).toEqual(
+    Array(4).fill('booked'),
+  );
+  // The fault is not the server's, so it is not avoided.
+  expect(tried.filter(id => id === 'a').length > 1).toEqual(true);
+});
+
+test('a request that cannot be sent at all is refused as not run', async () => {
+  const gateway = gatewayFixture(['a', 'b']);
+  failTo(gateway, ['a', 'b']);
+  const {received} = gateway.serve('/book/1');
+  await nextTurn();
+  expect(received.failure?.kind).toEqual('send-failed');
+  expect(received.failure?.ran).toEqual('no');
+  expect(gateway.core.isBusy()).toEqual(false);
+});
+
+test('an unexpected error ends its own request only, and is counted', async () => {
+  const gateway = gatewayFixture(['a']);
+  const broken = gateway.serve('/stream/1');
+  const sound = gateway.serve('/stream/2');
+  const [first, second] = gateway.attempts;
+  [first, second].forEach(attempt => {
+    attempt?.emit({type: 'sent'});
+    attempt?.emit({type: 'head', head: HEAD});
+  });
+  gateway.caller.isBroken = true;
+  first?.emit({type: 'events', firstId: 1, texts: ['id: 1\n\n']});
+  gateway.caller.isBroken = false;
+  gateway.core.tick();
+  second?.emit({type: 'events', firstId: 1, texts: ['id: 1\n\n']});
+  second?.emit({type: 'end'});
+  const {values} = await gateway.metrics.defects.get();
+  expect(broken.received.failure?.kind).toEqual('internal-error');
+  expect(first?.cancelled).toEqual(true);
+  expect(sound.received.ended).toEqual(true);
+  expect(values[0]?.value).toEqual(1);
+  expect(gateway.core.isBusy()).toEqual(false);
+});
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -117,13 +117,17 @@
   }: FixtureOptions = {},
 ) {
   const clock = {now: 1_000};
-  const caller = {isCongested: false};
+  const caller = {isCongested: false, isBroken: false};
+  /** Called with each request that is sent; may throw, as Node.js does. */
+  const sending = {check: (_req: BackendRequest): void => undefined};
+  const metrics = createGatewayMetrics('test');
   const attempts: SentAttempt[] = [];
   const announced: WorkChange[] = [];
   const limitChanges: LimitChange[] = [];
   const sentPermits: {to: string; message: PermitMessage}[] = [];
   const client: BackendClient = {
     send: (req, onEvent) => {
+      sending.check(req);
       const attempt: SentAttempt = {
         req,
         emit: onEvent,
@@ -160,7 +164,7 @@
     fleet,
     client,
     logger: SILENT_LOGGER,
-    metrics: createGatewayMetrics('test'),
+    metrics,
     random: () => 0.5,
     now: () => clock.now,
     retry,
@@ -190,6 +194,7 @@
       },
       startStream,
       writeEvents: texts => {
+        if (caller.isBroken) throw new Error('no event can be written');
         received.text += texts.join('');
         return !caller.isCongested;
       },
@@ -219,6 +224,8 @@
   return {
     clock,
     caller,
+    sending,
+    metrics,
     attempts,
     announced,
     limitChanges,
--- a/packages/gateway/src/__tests__/peer_table.test.ts
+++ b/packages/gateway/src/__tests__/peer_table.test.ts
@@ -127,3 +127,10 @@
   const received = links.map(({sent}) => sent.includes(message));
   expect(received).toEqual([false, true]);
 });
+
+test('an address with an impossible port is neither dialled nor passed on', () => {
+  const {table, dialled} = setUp();
+  const ports = [0, -1, 0.5, 65_536, 1e300];
+  table.addAddresses(ports.map(port => ({host: '10.0.0.9', port})));
+  expect(dialled).toEqual([['10.0.0.1:1']]);
+});
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -151,27 +151,44 @@
     });
     this.sentAt = now();
     placementServers(placement).forEach(id => fleet.limits.recordSend(id));
-    this.exchange = client.send(
-      {
-        requestId: req.requestId,
-        server,
-        method: req.method,
-        target: req.target,
-        headers: req.headers,
-        body: req.body,
-        workspace: spec.workspace,
-        idempotent: spec.idempotent,
-        timeoutMs: Math.max(1, Math.floor(spec.deadlineAt - now())),
-        lastEventId,
-        helpers,
-        priority: priorityOf(spec),
-      },
-      event => {
-        if (this.hasEnded) return;
-        this.updateSuspects(event);
-        onEvent(event);
-      },
-    );
+    const sendNow = () =>
+      client.send(
+        {
+          requestId: req.requestId,
+          server,
+          method: req.method,
+          target: req.target,
+          headers: req.headers,
+          body: req.body,
+          workspace: spec.workspace,
+          idempotent: spec.idempotent,
+          timeoutMs: Math.max(1, Math.floor(spec.deadlineAt - now())),
+          lastEventId,
+          helpers,
+          priority: priorityOf(spec),
+        },
+        event => {
+          if (this.hasEnded) return;
+          this.updateSuspects(event);
+          onEvent(event);
+        },
+      );
+    try {
+      this.exchange = sendNow();
+    } catch (error) {
+      this.refuseUnsent(error as Error);
+    }
+  }
+
+  /** Ends the attempt, later, because the client could not send its request. */
+  private refuseUnsent({message}: Error): void {
+    const {server, onEvent} = this.options;
+    const reason = `The request can't be sent to ${server.id}: ${message}`;
+    const failure = createFailure('send-failed', reason);
+    queueMicrotask(() => {
+      if (!this.hasEnded)
+        onEvent({type: 'refused', failure, unreachable: false});
+    });
   }
 
   /** Tracks whether this request may be crashing backend servers. */
--- a/packages/gateway/src/calls/call_observer.ts
+++ b/packages/gateway/src/calls/call_observer.ts
@@ -13,6 +13,8 @@
   ) => void;
   /** Called when an attempt ends without a complete response. */
   readonly onAttemptEnded: (spec: CallSpec, attempt: AttemptEnd) => void;
+  /** Called when an error that nothing expected ends the request. */
+  readonly onDefect: (spec: CallSpec, error: Error) => void;
 }
 
 interface AttemptEnd {
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -56,28 +56,57 @@
     this.options = createCallOptions(spec);
     const started = callMachine.start(this.options, now());
     this.state = started.state;
-    started.commands.forEach(command => this.execute(command));
-    this.closeIfEnded();
+    this.guard(() => {
+      started.commands.forEach(command => this.execute(command));
+      this.closeIfEnded();
+    });
   }
 
   step(event: CallEvent): void {
-    const {state, options} = this;
-    const next = callMachine.step(state, event, options, this.ctx.now());
-    this.state = next.state;
-    next.commands.forEach(command => this.execute(command));
-    this.closeIfEnded();
+    this.guard(() => {
+      const {state, options} = this;
+      const next = callMachine.step(state, event, options, this.ctx.now());
+      this.state = next.state;
+      next.commands.forEach(command => this.execute(command));
+      this.closeIfEnded();
+    });
   }
 
   /** Checks the deadline, and whether the backend server is silent. */
   tick(): void {
     this.step({type: 'tick'});
-    this.hedging.tick();
+    this.guard(() => this.hedging.tick());
+  }
+
+  /** Runs an action of this call; an error ends the call, not the process. */
+  private guard(action: () => void): void {
+    try {
+      action();
+    } catch (error) {
+      this.endAfterDefect(error as Error);
+    }
+  }
+
+  private endAfterDefect(error: Error): void {
+    this.ctx.observer.onDefect(this.ctx.spec, error);
+    if (this.isClosed) return;
+    const message = 'The gateway has failed to handle the request.';
+    const wasSent = this.attempts.count() > 0;
+    const ran = wasSent && this.state.ran === 'no' ? 'unknown' : this.state.ran;
+    const failure = createFailure('internal-error', message, {ran});
+    const wasEnded = this.state.phase === 'ended';
+    this.state = {...this.state, phase: 'ended'};
+    try {
+      if (!wasEnded) this.response.fail(failure);
+    } finally {
+      this.closeIfEnded();
+    }
   }
 
   /** Resumes reading from the backend server once the sink has drained. */
   handleDrain(): void {
     if (!this.attempt?.isPaused()) return;
-    this.attempt.resume();
+    this.guard(() => this.attempt?.resume());
     // The silence until now was the caller's, not the server's.
     this.step({type: 'alive', attemptId: this.state.attemptId ?? ''});
   }
@@ -126,8 +155,10 @@
 
   private onBackendEvent(event: BackendEvent, attemptId: string): void {
     if (attemptId !== this.state.attemptId) return;
-    if (isAnswer(event, this.state.nextIndex > 0)) this.hedging.end();
-    this.receiver.receive(event, attemptId);
+    this.guard(() => {
+      if (isAnswer(event, this.state.nextIndex > 0)) this.hedging.end();
+      this.receiver.receive(event, attemptId);
+    });
   }
 
   private replaceSilentAttempt(): void {
--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -74,6 +74,14 @@
           idleMs: attempt.idleMs && Math.round(attempt.idleMs),
           sharedParts: req.prompt?.sharedParts.join(' '),
         }),
+      onDefect: ({req}, error) => {
+        metrics.defects.inc();
+        logger.error('request ended by a defect', {
+          requestId: req.requestId,
+          reason: error.message,
+          stack: error.stack,
+        });
+      },
     },
     onRejected: (requestId, {kind, message}) => {
       metrics.requests.inc({route: '', result: kind});
--- a/packages/gateway/src/core/create_gateway_metrics.ts
+++ b/packages/gateway/src/core/create_gateway_metrics.ts
@@ -73,6 +73,16 @@
       labelNames: ['call', 'result'],
       registers,
     }),
+    unusableEntries: new Counter({
+      name: 'figfall_unusable_entries_total',
+      help: 'Entries of service discovery, as read, that name no usable server.',
+      registers,
+    }),
+    defects: new Counter({
+      name: 'figfall_defects_total',
+      help: 'Requests ended because of an error that nothing expected.',
+      registers,
+    }),
     droppedLogLines: new Counter({
       name: 'figfall_dropped_log_lines_total',
       help: 'Log lines dropped because the output was too slow.',
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -9,6 +9,8 @@
 /** Milliseconds after which the address of an unlinked gateway is dropped. */
 const PEER_EXPIRY_MS = 20_000;
 
+const PORT_MAX = 65_535;
+
 const WORK_STREAM = 'work';
 
 const PERMIT_STREAM = 'permits';
@@ -28,6 +30,12 @@
   return `${host}:${port}`;
 }
 
+/** False for an address that no connection can be made to. */
+function isDialable({host, port}: HostPort): boolean {
+  const isPort = Number.isInteger(port) && port >= 1 && port <= PORT_MAX;
+  return isPort && typeof host === 'string' && host !== '';
+}
+
 /** The other gateways that one gateway knows, and its links to them. */
 export class PeerTable {
   /** Time at which each gateway was last linked or first heard of. */
@@ -76,7 +84,10 @@
   addAddresses(addresses: readonly HostPort[]): void {
     const own = idOf(this.options.address);
     const unknown = addresses.filter(
-      address => idOf(address) !== own && !this.addresses.has(idOf(address)),
+      address =>
+        isDialable(address) &&
+        idOf(address) !== own &&
+        !this.addresses.has(idOf(address)),
     );
     unknown.forEach(address => {
       this.addresses.set(idOf(address), address);
--- a/packages/http-client/src/__tests__/exchange.test.ts
+++ b/packages/http-client/src/__tests__/exchange.test.ts
@@ -40,3 +40,14 @@
     message: 'The body is longer than 100000 bytes.',
   });
 });
+
+test('an address that no connection can be made to does not throw', async () => {
+  const answer = await exchange({
+    method: 'GET',
+    baseUrl: 'http://127.0.0.1:80800',
+    path: '/',
+    timeoutMs: 1_000,
+    idempotent: false,
+  });
+  expect(answer._unsafeUnwrapErr().type).toEqual('not-sent');
+});
--- a/packages/http-client/src/open_exchange.ts
+++ b/packages/http-client/src/open_exchange.ts
@@ -25,7 +25,18 @@
  * the caller to read or to destroy. The timeout applies to each period without
  * data, also while the body is read; connecting has a shorter timeout.
  */
-export function openExchange(
+export async function openExchange(
+  options: HttpRequest,
+): Promise<Result<IncomingMessage, HttpFailure>> {
+  try {
+    return await sendRequest(options);
+  } catch (error) {
+    // Node.js throws for an address or a header that it can't send.
+    return err({type: 'not-sent', message: (error as Error).message});
+  }
+}
+
+function sendRequest(
   options: HttpRequest,
 ): Promise<Result<IncomingMessage, HttpFailure>> {
   return new Promise(resolve => {
--- a/packages/node-link/src/transport/create_link.ts
+++ b/packages/node-link/src/transport/create_link.ts
@@ -1,6 +1,6 @@
 import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
 import type {Socket} from 'node:net';
-import {monotonicNow} from '@figfall/task';
+import {monotonicNow, reportDefect} from '@figfall/task';
 import {frameCodec} from '../codec/frame_codec.js';
 import {LINK} from '../constants.js';
 import type {NodeIdentity} from '../messages/node_identity.js';
@@ -103,7 +103,12 @@
   socket.on('data', chunk => {
     const frames = reader.push(chunk);
     if (frames.isErr()) return close(frames.error.message);
-    frames.value.forEach(frame => step({type: 'frame', frame}));
+    try {
+      frames.value.forEach(frame => step({type: 'frame', frame}));
+    } catch (error) {
+      reportDefect(error);
+      close(`a message could not be handled: ${(error as Error).message}`);
+    }
   });
   socket.on('error', error => close(error.message));
   socket.on('close', () => close('the connection closed'));
