--- a/packages/gateway/src/__tests__/attempt_events.ts
+++ b/packages/gateway/src/__tests__/attempt_events.ts
@@ -3,7 +3,7 @@
 
 type Fixture = Pick<ReturnType<typeof gatewayFixture>, 'attempts'>;
 
-const HEAD: ResponseHead = {status: 200, headers: [], isCloseDelimited: false};
+const HEAD: ResponseHead = {status: 200, headers: []};
 
 /** Emits events `firstId` and following at an attempt. */
 function emitEvents(
