--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -142,5 +142,4 @@
 export * from './serving/server_process_id.js';
 export * from './serving/prompt_worth.js';
 export * from './serving/partition_servers.js';
-export * from './serving/crash_suspects.js';
-export * from './serving/suspect_parts.js';
+export * from './serving/crash_evidence.js';
--- a/packages/decisions/src/serving/__tests__/suspect_parts.test.ts
+++ b/packages/decisions/src/serving/__tests__/suspect_parts.test.ts
@@ -1,44 +1,51 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {suspectParts} from '../suspect_parts.js';
+import {crashEvidence} from '../crash_evidence.js';
 
-type Parts = ReturnType<typeof suspectParts.empty>;
+type Parts = ReturnType<typeof crashEvidence.empty>;
+
+const EMPTY = crashEvidence.empty({blockMs: 60_000, suspectTtlMs: 60_000});
 
 /** Milliseconds between two losses, longer than each prompt was held. */
 const INTERVAL_MS = 1_000;
 const HELD_MS = 100;
 
+/** What is blocked once all losses are known everywhere. */
+function blockedOf(parts: Parts): readonly string[] {
+  return crashEvidence.blocked(crashEvidence.judge(parts, 100_000));
+}
+
 /** Loses one server after the other, each with the given parts of prompts. */
 function lose(...lost: readonly (readonly string[])[]): Parts {
   return lost.reduce(
     (known, parts, i) =>
-      suspectParts.recordLoss(
+      crashEvidence.recordLoss(
         known,
-        {serverId: `s${i}`, parts, heldMs: HELD_MS},
+        {serverId: `s${i}`, keys: parts, heldMs: HELD_MS},
         i * INTERVAL_MS,
       ),
-    suspectParts.empty(),
+    EMPTY,
   );
 }
 
 const LOST_AT = 2 * INTERVAL_MS;
 
 test('a part is blocked after three servers were lost one after the other', () => {
-  expect(suspectParts.blocked(lose(['p'], ['p']))).toEqual([]);
-  expect(suspectParts.blocked(lose(['p'], ['p'], ['p']))).toEqual(['p']);
+  expect(blockedOf(lose(['p'], ['p']))).toEqual([]);
+  expect(blockedOf(lose(['p'], ['p'], ['p']))).toEqual(['p']);
 });
 
 test('servers that are lost at the same time count once', () => {
   const parts = ['a', 'b', 'c', 'd', 'e', 'f'].reduce(
     (known, serverId, i) =>
-      suspectParts.recordLoss(
+      crashEvidence.recordLoss(
         known,
-        {serverId, parts: ['p'], heldMs: HELD_MS},
+        {serverId, keys: ['p'], heldMs: HELD_MS},
         i,
       ),
-    suspectParts.empty(),
+    EMPTY,
   );
-  expect(suspectParts.blocked(parts)).toEqual([]);
+  expect(blockedOf(parts)).toEqual([]);
 });
 
 test('a part of bystanders is not blocked with the part to blame', () => {
@@ -48,53 +55,54 @@
     ['p', 'bystander'],
     ['p', 'bystander'],
   );
-  expect(suspectParts.blocked(parts)).toEqual(['p']);
+  expect(blockedOf(parts)).toEqual(['p']);
 });
 
 test('parts that are always there together are blocked after five losses', () => {
   const together = ['p', 'q'];
   const four = [together, together, together, together];
-  expect(suspectParts.blocked(lose(...four))).toEqual([]);
-  expect(suspectParts.blocked(lose(...four, together))).toEqual(['p', 'q']);
+  expect(blockedOf(lose(...four))).toEqual([]);
+  expect(blockedOf(lose(...four, together))).toEqual(['p', 'q']);
 });
 
 test('an answer clears the parts of its prompt, also a blocked one', () => {
-  const parts = lose(['p', 'q'], ['p'], ['p']);
-  expect(suspectParts.blocked(suspectParts.recordAnswer(parts, ['q']))).toEqual(
-    ['p'],
-  );
-  expect(suspectParts.blocked(suspectParts.recordAnswer(parts, ['p']))).toEqual(
-    [],
-  );
+  const lost = lose(['p', 'q'], ['p'], ['p']);
+  const parts = crashEvidence.judge(lost, LOST_AT + 50);
+  expect(blockedOf(crashEvidence.recordAnswer(parts, ['q']))).toEqual(['p']);
+  expect(blockedOf(crashEvidence.recordAnswer(parts, ['p']))).toEqual([]);
 });
 
 test('a blocked part gets one trial, and the next after twice the time', () => {
-  const parts = lose(['p'], ['p'], ['p']);
+  const parts = crashEvidence.judge(lose(['p'], ['p'], ['p']), LOST_AT + 50);
   const forMs = (known: Parts, now: number) =>
-    suspectParts.findBlocked(known, ['other', 'p'], now)?.forMs;
+    crashEvidence.refusedForMs(known, 'p', now);
   expect(forMs(parts, LOST_AT)).toEqual(60_000);
   const trialAt = LOST_AT + 60_000;
-  expect(forMs(parts, trialAt)).toEqual(undefined);
-  expect(suspectParts.partsOnTrial(parts, ['other', 'p'])).toEqual(['p']);
-  const tried = suspectParts.recordTrial(parts, 'p', trialAt);
+  expect(forMs(parts, trialAt)).toEqual(0);
+  expect(crashEvidence.isBlocked(parts, 'p')).toEqual(true);
+  expect(crashEvidence.isBlocked(parts, 'other')).toEqual(false);
+  const tried = crashEvidence.recordTrial(parts, 'p', trialAt);
   expect(forMs(tried, trialAt)).toEqual(120_000);
 });
 
 test('a gateway that joins refuses what others have blocked', () => {
   const age = {trials: 1, ageMs: 20_000};
-  const parts = suspectParts.addBlocked(suspectParts.empty(), 'p', age, 0);
-  expect(suspectParts.findBlocked(parts, ['p'], 0)).toEqual({
-    part: 'p',
-    forMs: 100_000,
-  });
+  const parts = crashEvidence.addBlocked(EMPTY, 'p', age, 0);
+  expect(crashEvidence.refusedForMs(parts, 'p', 0)).toEqual(100_000);
 });
 
 test('suspected parts expire, and their number is limited', () => {
   const suspected = lose(['p']);
-  expect(suspectParts.removeExpired(suspected, 59_999).size).toEqual(1);
-  expect(suspectParts.removeExpired(suspected, 60_000).size).toEqual(0);
-  const blocked = lose(['p'], ['p'], ['p']);
-  expect(suspectParts.removeExpired(blocked, 600_000).size).toEqual(1);
+  expect(crashEvidence.removeExpired(suspected, 59_999).suspects.size).toEqual(
+    1,
+  );
+  expect(crashEvidence.removeExpired(suspected, 60_000).suspects.size).toEqual(
+    0,
+  );
+  const blocked = crashEvidence.judge(lose(['p'], ['p'], ['p']), LOST_AT + 50);
+  expect(crashEvidence.removeExpired(blocked, 600_000).suspects.size).toEqual(
+    1,
+  );
   const many = Array.from({length: 1_030}, (_, i) => [`p${i}`]);
-  expect(lose(...many).size).toEqual(1_024);
+  expect(lose(...many).suspects.size).toEqual(1_024);
 });
--- /dev/null
+++ b/packages/decisions/src/serving/crash_evidence.ts
@@ -0,0 +1,181 @@
+import {keepNewest} from '../shared/keep_newest.js';
+import {mapWith} from '../shared/map_with.js';
+import type {CrashEvidenceLimits} from './crash_evidence_limits.js';
+import type {CrashEvidenceState} from './crash_evidence_state.js';
+import type {CrashSuspect} from './crash_suspect.js';
+import {isSettled} from './is_settled.js';
+import {judgeCrashSuspects} from './judge_crash_suspects.js';
+import {standsOut} from './stands_out.js';
+
+interface LostServer {
+  /** Identifies the process of the server. */
+  readonly serverId: string;
+  /** Keys of a request that the server ran. */
+  readonly keys: readonly string[];
+  /** Milliseconds from sending the request to the loss. */
+  readonly heldMs: number;
+}
+
+/** Milliseconds between losses that may have the same cause. */
+const ROUND_MS = 500;
+
+/** Trials after which the time between trials no longer doubles. */
+const DOUBLED_TRIALS_MAX = 4;
+
+/** Milliseconds after which a blocked key without any requests is forgotten. */
+const BLOCKED_TTL_MS = 3_600_000;
+
+/** Largest number of keys kept; the oldest are dropped first. */
+const KEYS_MAX = 1_024;
+
+/** Largest number of lost servers kept; the oldest are dropped first. */
+const SERVERS_MAX = 256;
+
+/** Milliseconds for which a lost server is kept. */
+const LOST_TTL_MS = 600_000;
+
+/** Largest number of losses kept for a key. */
+const LOSSES_MAX = 16;
+
+const UNKNOWN: CrashSuspect = {
+  losses: [],
+  updatedAt: -Infinity,
+  isBlocked: false,
+  trials: 0,
+};
+
+function addLoss(
+  suspect: CrashSuspect,
+  {serverId, heldMs}: LostServer,
+  now: number,
+): CrashSuspect {
+  const {losses, updatedAt} = suspect;
+  if (losses.some(loss => loss.serverId === serverId)) return suspect;
+  const wasSentLater = now - heldMs >= updatedAt;
+  const startsRound = wasSentLater || now - updatedAt >= ROUND_MS;
+  const loss = {serverId, at: now, startsRound};
+  return {
+    ...suspect,
+    losses: [...losses, loss].slice(-LOSSES_MAX),
+    updatedAt: startsRound ? now : updatedAt,
+  };
+}
+
+/**
+ * Keys of requests that may crash each server that runs them: a key is a whole
+ * request, or a part of prompts. Such requests come at any gateway, and more than
+ * once. Evidence is the loss of servers in series, at any time of an answer; only
+ * a whole answer speaks for a key, as a server may crash after its first event.
+ */
+export const crashEvidence = {
+  empty(limits: CrashEvidenceLimits): CrashEvidenceState {
+    return {limits, suspects: new Map(), lostAt: new Map()};
+  },
+
+  /** Records the loss of a server that ran a request with these keys. */
+  recordLoss(
+    state: CrashEvidenceState,
+    loss: LostServer,
+    now: number,
+  ): CrashEvidenceState {
+    const {serverId, keys} = loss;
+    const lostAt = state.lostAt.has(serverId)
+      ? state.lostAt
+      : keepNewest(mapWith(state.lostAt, serverId, now), SERVERS_MAX);
+    const suspects = keys.reduce<CrashEvidenceState['suspects']>(
+      (known, key) =>
+        mapWith(known, key, addLoss(known.get(key) ?? UNKNOWN, loss, now)),
+      state.suspects,
+    );
+    return {...state, lostAt, suspects: keepNewest(suspects, KEYS_MAX)};
+  },
+
+  /** Clears keys, because a server has answered a request with them in full. */
+  recordAnswer(
+    state: CrashEvidenceState,
+    keys: readonly string[],
+  ): CrashEvidenceState {
+    const {suspects} = state;
+    if (!keys.some(key => suspects.has(key))) return state;
+    const left = [...suspects].filter(([key]) => !keys.includes(key));
+    return {...state, suspects: new Map(left)};
+  },
+
+  /** Blocks the keys that are to blame by now. */
+  judge: judgeCrashSuspects,
+
+  /** True if a key will be blocked, unless other gateways lost more with it. */
+  isPending(state: CrashEvidenceState, key: string, now: number): boolean {
+    const suspect = state.suspects.get(key);
+    if (!suspect || suspect.isBlocked || isSettled(suspect, now)) return false;
+    return standsOut(state, key, suspect);
+  },
+
+  isBlocked({suspects}: CrashEvidenceState, key: string): boolean {
+    return suspects.get(key)?.isBlocked ?? false;
+  },
+
+  /** Milliseconds for which requests with a key are refused; 0 if they may run. */
+  refusedForMs(
+    {suspects, limits}: CrashEvidenceState,
+    key: string,
+    now: number,
+  ): number {
+    const suspect = suspects.get(key);
+    if (!suspect?.isBlocked) return 0;
+    const {updatedAt, trials} = suspect;
+    const doubled = 2 ** Math.min(trials, DOUBLED_TRIALS_MAX);
+    return Math.max(0, updatedAt + limits.blockMs * doubled - now);
+  },
+
+  /** Records that a request with a blocked key is sent, as its trial. */
+  recordTrial(
+    state: CrashEvidenceState,
+    key: string,
+    now: number,
+  ): CrashEvidenceState {
+    const suspect = state.suspects.get(key);
+    if (!suspect?.isBlocked) return state;
+    const trials = suspect.trials + 1;
+    const tried = {...suspect, trials, updatedAt: now};
+    return {...state, suspects: mapWith(state.suspects, key, tried)};
+  },
+
+  /** The keys that are blocked. */
+  blocked({suspects}: CrashEvidenceState): readonly string[] {
+    return [...suspects].flatMap(([key, {isBlocked}]) =>
+      isBlocked ? [key] : [],
+    );
+  },
+
+  /** Adds a key that another gateway has blocked, unless it is blocked here. */
+  addBlocked(
+    state: CrashEvidenceState,
+    key: string,
+    {trials, ageMs}: {readonly trials: number; readonly ageMs: number},
+    now: number,
+  ): CrashEvidenceState {
+    const known = state.suspects.get(key) ?? UNKNOWN;
+    if (known.isBlocked) return state;
+    const updatedAt = now - ageMs;
+    const suspect = {...known, trials, updatedAt, isBlocked: true};
+    const suspects = mapWith(state.suspects, key, suspect);
+    return {...state, suspects: keepNewest(suspects, KEYS_MAX)};
+  },
+
+  /** Removes keys without a recent loss or trial, and old losses. */
+  removeExpired(state: CrashEvidenceState, now: number): CrashEvidenceState {
+    const {suspectTtlMs} = state.limits;
+    const isCurrent = ({isBlocked, updatedAt}: CrashSuspect) =>
+      now - updatedAt < (isBlocked ? BLOCKED_TTL_MS : suspectTtlMs);
+    const suspects = [...state.suspects].filter(([, suspect]) =>
+      isCurrent(suspect),
+    );
+    const lostAt = [...state.lostAt].filter(([, at]) => now - at < LOST_TTL_MS);
+    const isUnchanged =
+      suspects.length === state.suspects.size &&
+      lostAt.length === state.lostAt.size;
+    if (isUnchanged) return state;
+    return {...state, suspects: new Map(suspects), lostAt: new Map(lostAt)};
+  },
+};
--- /dev/null
+++ b/packages/decisions/src/serving/stands_out.ts
@@ -0,0 +1,69 @@
+import type {CrashEvidenceState} from './crash_evidence_state.js';
+import type {CrashSuspect} from './crash_suspect.js';
+
+/** Rounds of losses after which a key that stands out is blocked. */
+const BLOCK_AFTER_ROUNDS = 3;
+
+/** Rounds of losses after which a key is blocked, though others fit too. */
+const BLOCK_ALL_AFTER_ROUNDS = 5;
+
+type Suspects = CrashEvidenceState['suspects'];
+
+function roundsOf({losses}: CrashSuspect) {
+  return losses.filter(({startsRound}) => startsRound);
+}
+
+function serversOf({losses}: CrashSuspect): ReadonlySet<string> {
+  return new Set(losses.map(({serverId}) => serverId));
+}
+
+/** True if another key was there at all losses of this one. */
+function isExplained(
+  suspects: Suspects,
+  key: string,
+  suspect: CrashSuspect,
+): boolean {
+  const servers = [...serversOf(suspect)];
+  return [...suspects].some(([other, {losses}]) => {
+    if (other === key || losses.length < servers.length) return false;
+    const lost = new Set(losses.map(({serverId}) => serverId));
+    return servers.every(serverId => lost.has(serverId));
+  });
+}
+
+/**
+ * True if servers were lost meanwhile that ran neither this key nor a blocked
+ * one. Servers then crash without it, so it may be there by chance.
+ */
+function areOthersLost(
+  {suspects, lostAt}: CrashEvidenceState,
+  suspect: CrashSuspect,
+): boolean {
+  const since = roundsOf(suspect).at(-BLOCK_AFTER_ROUNDS)?.at ?? -Infinity;
+  const blocked = [...suspects.values()].filter(({isBlocked}) => isBlocked);
+  const accounted = new Set(
+    [suspect, ...blocked].flatMap(known => [...serversOf(known)]),
+  );
+  return [...lostAt].some(
+    ([serverId, at]) => at >= since && !accounted.has(serverId),
+  );
+}
+
+/**
+ * True if a key is to blame for the losses of servers. A server that crashes
+ * takes all of its requests with it, and several may meet again at the next one,
+ * so no other key must fit as well, and no server be lost without this one.
+ */
+export function standsOut(
+  state: CrashEvidenceState,
+  key: string,
+  suspect: CrashSuspect,
+): boolean {
+  const rounds = roundsOf(suspect).length;
+  if (rounds >= BLOCK_ALL_AFTER_ROUNDS) return true;
+  return (
+    rounds >= BLOCK_AFTER_ROUNDS &&
+    !isExplained(state.suspects, key, suspect) &&
+    !areOthersLost(state, suspect)
+  );
+}
--- a/packages/decisions/src/serving/suspect_change.ts
+++ b/packages/decisions/src/serving/suspect_change.ts
@@ -1,43 +1,38 @@
-/** What a gateway tells the others of prompts that may crash servers. */
+/** What may crash servers: whole requests, or parts of prompts. */
+type SuspectKind = 'request' | 'part';
+
+/** What a gateway tells the others of requests that may crash servers. */
 export type SuspectChange =
   | {
-      /** A backend server closed the connection while it ran a request. */
-      readonly type: 'broke';
-      /** Hash that identifies the request's content. */
-      readonly fingerprint: string;
-      readonly serverId: string;
-      /** Time in milliseconds from sending the request to the disconnect. */
-      readonly heldMs: number;
-    }
-  | {
-      /** A request that ended in a disconnect before was answered. */
-      readonly type: 'answered';
-      readonly fingerprint: string;
-    }
-  | {
-      /** A server was lost that had not begun to answer a prompt. */
+      /** The connection to a server broke off while it ran a request. */
       readonly type: 'server-lost';
-      /** Identifies the process of the server. */
       readonly serverId: string;
+      /** Start of the server's process as known here, in Unix milliseconds. */
+      readonly processStartedAt?: number;
+      /** Hash that identifies the request's content. */
+      readonly fingerprint: string;
       /** Parts of the prompt that other prompts may share. */
       readonly parts: readonly string[];
-      /** Time in milliseconds from sending the prompt to the loss. */
+      /** Time in milliseconds from sending the request to the loss. */
       readonly heldMs: number;
     }
   | {
-      /** Parts under suspicion are in a prompt that was answered lately. */
-      readonly type: 'parts-answered';
-      readonly parts: readonly string[];
+      /** Keys under suspicion are of a request that was answered in full. */
+      readonly type: 'suspects-answered';
+      readonly kind: SuspectKind;
+      readonly keys: readonly string[];
     }
   | {
-      /** A prompt with a blocked part is sent, to learn if it still crashes. */
-      readonly type: 'part-tried';
-      readonly part: string;
+      /** A request with a blocked key is sent, to learn if it still crashes. */
+      readonly type: 'suspect-tried';
+      readonly kind: SuspectKind;
+      readonly key: string;
     }
   | {
-      /** A part was blocked, just now or before the receiver was linked. */
-      readonly type: 'part-blocked';
-      readonly part: string;
+      /** A key was blocked, just now or before the receiver was linked. */
+      readonly type: 'suspect-blocked';
+      readonly kind: SuspectKind;
+      readonly key: string;
       readonly trials: number;
       /** Milliseconds since the last loss or trial. */
       readonly ageMs: number;
--- a/packages/gateway/src/__tests__/crashing_part.test.ts
+++ b/packages/gateway/src/__tests__/crashing_part.test.ts
@@ -14,6 +14,15 @@
 
 const HEAD = {status: 200, headers: []};
 
+/** Milliseconds after which all gateways know who lost a server. */
+const SETTLE_MS = 60;
+
+/** Lets a gateway decide what is to blame for the losses until now. */
+function settle({clock, fleet}: Fixture): void {
+  clock.now += SETTLE_MS;
+  fleet.prune();
+}
+
 /** Sends a prompt; no two have the same id, path, body or last part. */
 function send({serve}: Fixture, id: string, sharedParts: readonly string[]) {
   return serve(`/stream/${id}`, {
@@ -91,6 +100,8 @@
     send(fixture, `sound-${id}`, ['rules']);
     answer(fixture, `sound-${id}`);
   });
+  settle(fixture);
+  if (peer) forward(fixture, peer);
   return fixture;
 }
 
@@ -137,37 +148,73 @@
   expect(received.failure).toEqual(undefined);
 });
 
-test('what a stream lost after its first events does not count', () => {
-  const fixture = gatewayFixture(SERVERS);
-  const ids = ['p1', 'p2', 'p3', 'p4'];
-  ids.forEach(id => {
-    fixture.clock.now += INTERVAL_MS;
-    send(fixture, id, ['subject']);
-    const attempt = fixture.attempts.findLast(({req}) => req.requestId === id);
-    attempt?.emit({type: 'sent'});
-    attempt?.emit({type: 'head', head: HEAD});
-    attempt?.emit({type: 'events', firstId: 0, texts: ['id: 0\n\n']});
-    attempt?.emit({type: 'failed', reason: 'The stream was cut off.'});
+/**
+ * Sends prompts to the only server that is listed, and loses it after their first
+ * events.
+ */
+function loseAfterFirstEvents(
+  {setServers, attempts, clock}: Fixture,
+  serverId: string,
+  sendAll: () => void,
+): void {
+  clock.now += INTERVAL_MS;
+  setServers(serverId);
+  const before = attempts.length;
+  sendAll();
+  const lost = attempts.slice(before);
+  lost.forEach(({emit}) => {
+    emit({type: 'sent'});
+    emit({type: 'head', head: HEAD});
+    emit({type: 'events', firstId: 0, texts: ['id: 0\n\n']});
   });
+  setServers();
+  clock.now += 40;
+  lost.forEach(({emit}) => emit({type: 'failed', reason: 'cut off'}));
+}
+
+test('a part whose prompts crash servers after their first events is refused (BUDGET)', () => {
+  const fixture = gatewayFixture(SERVERS);
+  ['a', 'b', 'c'].forEach(id =>
+    loseAfterFirstEvents(fixture, id, () => send(fixture, id, ['poison'])),
+  );
+  settle(fixture);
+  fixture.setServers('d');
+  const {received} = send(fixture, 'r1', ['poison']);
+  expect(received.failure?.kind).toEqual('suspect-request');
+});
+
+test('a part of prompts beside those that crash servers is not refused with theirs', () => {
+  const fixture = gatewayFixture(SERVERS);
+  ['a', 'b', 'c', 'd'].forEach((id, i) =>
+    loseAfterFirstEvents(fixture, id, () => {
+      send(fixture, `p${id}`, ['poison']);
+      if (i < 3) send(fixture, `s${id}`, ['subject']);
+    }),
+  );
+  settle(fixture);
+  fixture.setServers('e');
   const {received} = send(fixture, 'r1', ['subject']);
   expect(received.failure).toEqual(undefined);
+  const poison = send(fixture, 'r2', ['poison']);
+  expect(poison.received.failure?.kind).toEqual('suspect-request');
 });
 
 test('a stream under way on servers that crash is not refused as the culprit', () => {
   const fixture = gatewayFixture(SERVERS);
-  const {attempts, clock} = fixture;
-  const retries = ['t1', 't2', 't3'];
-  retries.forEach(requestId => {
-    fixture.serve('/stream/same', {requestId});
-    const attempt = attempts.findLast(({req}) => req.requestId === requestId);
-    attempt?.emit({type: 'sent'});
-    attempt?.emit({type: 'head', head: HEAD});
-    attempt?.emit({type: 'events', firstId: 0, texts: ['id: 0\n\n']});
-    clock.now += INTERVAL_MS;
-    attempt?.emit({type: 'failed', reason: 'The response was cut off.'});
-  });
-  const {received} = fixture.serve('/stream/same', {requestId: 'last'});
+  const {serve} = fixture;
+  ['a', 'b', 'c'].forEach(id =>
+    loseAfterFirstEvents(fixture, id, () => {
+      serve('/stream/same', {requestId: `t${id}`});
+      serve('/stream/culprit', {requestId: `p${id}`});
+    }),
+  );
+  settle(fixture);
+  fixture.setServers('d');
+  const {received} = serve('/stream/same', {requestId: 'last'});
+  fixture.core.tick();
   expect(received.failure).toEqual(undefined);
+  const sent = fixture.attempts.map(({req}) => req.requestId);
+  expect(sent).toInclude('last');
 });
 
 test('a gateway that blocks a part hears from one that has answered it', () => {
@@ -180,11 +227,12 @@
     send(restarted, id, ['rules']);
     crash(restarted, id);
   });
+  settle(restarted);
   const before = send(restarted, 'r1', ['rules']);
   expect(before.received.failure?.kind).toEqual('suspect-request');
   // The other one has got nothing of what led to this.
   const blocked = restarted.announced.filter(
-    ({type}) => type === 'part-blocked',
+    ({type}) => type === 'suspect-blocked',
   );
   blocked.forEach(change => other.fleet.applyRemoteChange(change, 'peer'));
   other.clock.now = restarted.clock.now;
--- a/packages/gateway/src/__tests__/gateway_call.test.ts
+++ b/packages/gateway/src/__tests__/gateway_call.test.ts
@@ -185,7 +185,7 @@
 });
 
 test('a request that crashed several servers is refused unsent', () => {
-  const {attempts, serve, clock} = gatewayFixture(['a', 'b', 'c', 'd']);
+  const {attempts, serve, clock, core} = gatewayFixture(['a', 'b', 'c', 'd']);
   const failAttempt = (i: number): void => {
     attempts[i]?.emit({type: 'sent'});
     clock.now += 10;
@@ -199,6 +199,10 @@
   const sent = attempts.length;
   const {received} = serve('/read/poison', {requestId: 'r9'});
   expect(attempts.length).toEqual(sent);
+  // What other gateways lost at the same servers is known by then.
+  clock.now += 60;
+  core.tick();
+  expect(attempts.length).toEqual(sent);
   expect(received.failure?.kind).toEqual('suspect-request');
   expect(received.failure?.ran).toEqual('no');
   serve('/read/other');
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -102,6 +102,8 @@
   readonly retry?: {readonly ratio: number; readonly slack: number};
   /** Servers that a route allows. */
   readonly maxAttempts?: number;
+  /** @default always 0.5 */
+  readonly random?: () => number;
   /** Engine of the backend servers; without one they are plain services. */
   readonly engine?: EngineProfile;
 }
@@ -114,6 +116,7 @@
     retry = {ratio: 0.2, slack: 100},
     maxAttempts = ROUTE.maxAttempts,
     engine,
+    random = () => 0.5,
   }: FixtureOptions = {},
 ) {
   const clock = {now: 1_000};
@@ -150,7 +153,7 @@
   const fleet = new Fleet({
     owner: 'self',
     zone: 'nord',
-    random: () => 0.5,
+    random,
     now: () => clock.now,
     announce: change => announced.push(change),
     onAvoided: () => undefined,
@@ -158,14 +161,14 @@
     gatewayId: 'self',
     hash: hashText,
     sendPermits: (to, message) => sentPermits.push({to, message}),
-    onPartBlocked: () => undefined,
+    onSuspect: () => undefined,
   });
   const core = new GatewayCore({
     fleet,
     client,
     logger: SILENT_LOGGER,
     metrics,
-    random: () => 0.5,
+    random,
     now: () => clock.now,
     retry,
   });
--- a/packages/gateway/src/__tests__/suspect_part_list.test.ts
+++ b/packages/gateway/src/__tests__/suspect_list.test.ts
@@ -1,36 +1,36 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import type {CallSpec} from '../calls/call_spec.js';
-import {SuspectPartList} from '../core/suspect_part_list.js';
+import {SuspectList} from '../core/suspect_list.js';
 
-type PartChange = Parameters<SuspectPartList['apply']>[0];
+type KeyChange = Parameters<SuspectList['apply']>[0];
 
-/** A request whose prompt shares one part with others. */
-const SPEC = {
-  service: {name: 'model'},
-  req: {prompt: {sharedParts: ['rules']}},
-} as unknown as CallSpec;
+/** Parts of a prompt, of which one is shared with others. */
+const KEYS = ['model/rules'];
 
-const BLOCKED: PartChange = {
-  type: 'part-blocked',
-  part: 'model/rules',
+const BLOCKED: KeyChange = {
+  type: 'suspect-blocked',
+  kind: 'part',
+  key: 'model/rules',
   trials: 0,
   ageMs: 0,
 };
 
 function createList() {
   const clock = {now: 0};
-  const list: SuspectPartList = new SuspectPartList({
+  const list: SuspectList = new SuspectList({
+    kind: 'part',
+    limits: {blockMs: 60_000, suspectTtlMs: 60_000},
+    answeredTtlMs: 60_000,
     now: () => clock.now,
-    applyAndAnnounce: change => list.apply(change as PartChange),
-    onPartBlocked: () => undefined,
+    applyAndAnnounce: change => list.apply(change as KeyChange),
+    onBlocked: () => undefined,
   });
   return {clock, list};
 }
 
 test('a gateway that is linked late hears that a part it blocked was answered', () => {
   const {list} = createList();
-  list.recordAnswer(SPEC);
+  list.recordAnswer(KEYS);
   list.apply(BLOCKED);
   const late = createList().list;
   late.apply(BLOCKED);
@@ -41,7 +41,7 @@
 
 test('an objection ends with the time for which an answer counts', () => {
   const {list, clock} = createList();
-  list.recordAnswer(SPEC);
+  list.recordAnswer(KEYS);
   list.apply(BLOCKED);
   clock.now = 61_000;
   expect(list.changesForNewPeer()).toEqual([]);
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -37,6 +37,13 @@
     : GATEWAY.SHORT_PROMPT_PRIORITY;
 }
 
+/** True for what no server sends that crashes under the request. */
+function isWholeAnswer(event: BackendEvent): boolean {
+  if (event.type === 'end') return true;
+  // A server that fails part of its requests answers without running them.
+  return event.type === 'response' && event.head.status < GATEWAY.ERROR_STATUS;
+}
+
 /** One attempt at a backend server, with the KV cache that it reserves. */
 export class BackendAttempt {
   private readonly work: AttemptWork;
@@ -193,18 +200,13 @@
 
   /** Tracks whether this request may be crashing backend servers. */
   private updateSuspects(event: BackendEvent): void {
-    const {type} = event;
-    const {spec, server, now} = this.options;
-    const {suspects} = this.options.fleet;
-    const {hadEvents} = this.progress();
-    if (type === 'failed') {
-      const heldMs = now() - this.sentAt;
-      suspects.recordLoss(spec, {server, heldMs, hadEvents});
+    const {spec, server, now, fleet} = this.options;
+    const {suspects} = fleet;
+    if (event.type === 'failed' && !event.isAlive) {
+      suspects.recordLoss(spec, {server, heldMs: now() - this.sentAt});
     }
-    const hasBegun =
-      (type === 'events' && !hadEvents) ||
-      (type === 'response' && event.head.status < GATEWAY.ERROR_STATUS);
-    if (hasBegun) suspects.recordBegun(spec);
-    if (type === 'response' || type === 'end') suspects.recordAnswer(spec);
+    // The end of a resumed stream says nothing of its beginning.
+    const ranFromStart = this.options.lastEventId === undefined;
+    if (ranFromStart && isWholeAnswer(event)) suspects.recordAnswer(spec);
   }
 }
--- a/packages/gateway/src/core/add_fleet_gauges.ts
+++ b/packages/gateway/src/core/add_fleet_gauges.ts
@@ -81,7 +81,15 @@
     help: 'Parts of prompts that are refused because servers crash under them.',
     registers,
     collect() {
-      this.set(fleet.counts().blockedParts);
+      this.set(fleet.counts().blocked.parts);
+    },
+  });
+  new Gauge({
+    name: 'figfall_blocked_requests',
+    help: 'Requests that are refused because servers crash under them.',
+    registers,
+    collect() {
+      this.set(fleet.counts().blocked.requests);
     },
   });
   new Gauge({
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -78,7 +78,8 @@
    * `not-ready` while the request must wait for servers or their permits.
    */
   place(spec: CallSpec, options: PlaceOptions): Result<Placement, Failure> {
-    const refusal = this.suspects.refusal(spec);
+    const hasBegun = options.lastEventAt !== undefined;
+    const refusal = this.suspects.refusal(spec, hasBegun);
     if (refusal) return err(refusal);
     const held = this.limitWaits.stillHeld(spec);
     if (held) return err(held);
@@ -153,13 +154,13 @@
       ...countServers(this.view(), this.options.now()),
       waiting: load.waiting.size,
       working: fleetLoad.busyServers(load),
-      blockedParts: this.suspects.blockedPartCount(),
+      blocked: this.suspects.blockedCounts(),
     };
   }
 
   /**
    * What a newly linked gateway should know: all work of this gateway, the
-   * servers known to leave, and the blocked parts of prompts.
+   * servers known to leave, and the requests and parts that are blocked.
    */
   changesForNewPeer(): readonly WorkChange[] {
     return [
--- a/packages/gateway/src/core/fleet_options.ts
+++ b/packages/gateway/src/core/fleet_options.ts
@@ -1,5 +1,6 @@
 import type {HashFunction, RandomSource, WorkChange} from '@figfall/decisions';
 import type {RateLimits} from './rate_limits.js';
+import type {Suspects} from './suspects.js';
 
 type RateLimitsOptions = ConstructorParameters<typeof RateLimits>[0];
 
@@ -20,8 +21,8 @@
   readonly hash: HashFunction;
   /** Sends a message about permits to a linked gateway. */
   readonly sendPermits: RateLimitsOptions['sendPermits'];
-  /** Called when prompts with a part begin or cease to be refused. */
-  readonly onPartBlocked: (part: string, isBlocked: boolean) => void;
+  /** Called when a request, or prompts with a part, begin or cease to be refused. */
+  readonly onSuspect: ConstructorParameters<typeof Suspects>[0]['onSuspect'];
   /** Sends a change of this gateway's work to other gateways. */
   readonly announce: (change: WorkChange) => void;
 }
--- a/packages/gateway/src/core/suspects.ts
+++ b/packages/gateway/src/core/suspects.ts
@@ -1,86 +1,167 @@
-import {createFailure} from '@figfall/decisions';
+import {createFailure, serverProcessId} from '@figfall/decisions';
 import type {BackendServer, Failure, SuspectChange} from '@figfall/decisions';
+import {computeFingerprint} from '@figfall/node-link';
 import type {CallSpec} from '../calls/call_spec.js';
-import {CrashSuspectList} from './crash_suspect_list.js';
-import {SuspectPartList} from './suspect_part_list.js';
+import {SuspectList} from './suspect_list.js';
 
-type SuspectsOptions = ConstructorParameters<typeof SuspectPartList>[0];
+interface SuspectsOptions {
+  readonly now: () => number;
+  /** Applies a change to this gateway's fleet and announces it to others. */
+  readonly applyAndAnnounce: (change: SuspectChange) => void;
+  /** Called when requests of a key begin or cease to be refused. */
+  readonly onSuspect: (
+    kind: 'request' | 'part',
+    key: string,
+    isBlocked: boolean,
+  ) => void;
+}
 
 interface Loss {
   readonly server: BackendServer;
   /** Milliseconds from sending the request to the loss. */
   readonly heldMs: number;
-  /** True if the server had begun to answer. */
-  readonly hadEvents: boolean;
+}
+
+/** Makes a request wait until it is known whether it is to blame. */
+const PENDING = createFailure(
+  'not-ready',
+  'The request may be crashing backend servers.',
+);
+
+const REQUEST_LIMITS = {blockMs: 30_000, suspectTtlMs: 600_000};
+
+const PART_LIMITS = {blockMs: 60_000, suspectTtlMs: 60_000};
+
+/** Milliseconds for which a part that was answered is above suspicion. */
+const PART_ANSWERED_TTL_MS = 60_000;
+
+function fingerprint({req, workspace = ''}: CallSpec): string {
+  return computeFingerprint(workspace, req.method, req.target, req.body);
+}
+
+/** Shared parts of a prompt, told apart by the service that runs it. */
+function partsOf({req, service}: CallSpec): readonly string[] {
+  const parts = req.prompt?.sharedParts ?? [];
+  return parts.map(part => `${service.name}/${part}`);
 }
 
 /** Requests, and parts of prompts, that may crash any server running them. */
 export class Suspects {
-  private readonly requests: CrashSuspectList;
-  private readonly parts: SuspectPartList;
+  private readonly requests: SuspectList;
+  private readonly parts: SuspectList;
+  /** Requests that were sent as a trial. */
+  private readonly trials = new WeakSet<CallSpec>();
 
-  constructor(options: SuspectsOptions) {
-    this.requests = new CrashSuspectList(options);
-    this.parts = new SuspectPartList(options);
+  constructor(private readonly options: SuspectsOptions) {
+    const {onSuspect} = options;
+    this.requests = new SuspectList({
+      ...options,
+      kind: 'request',
+      limits: REQUEST_LIMITS,
+      answeredTtlMs: 0,
+      onBlocked: (key, isBlocked) => onSuspect('request', key, isBlocked),
+    });
+    this.parts = new SuspectList({
+      ...options,
+      kind: 'part',
+      limits: PART_LIMITS,
+      answeredTtlMs: PART_ANSWERED_TTL_MS,
+      onBlocked: (key, isBlocked) => onSuspect('part', key, isBlocked),
+    });
   }
 
-  /** Why a request must not be sent now; undefined if it may. */
-  refusal(spec: CallSpec): Failure | undefined {
-    const requestForMs = this.requests.refusedForMs(spec);
-    const blocked = this.parts.findBlocked(spec);
-    const retryAfterMs = Math.max(requestForMs, blocked?.forMs ?? 0);
-    if (retryAfterMs <= 0) return undefined;
-    const message = blocked
-      ? `Several backend servers failed while running prompts with part ${blocked.part}. Send the prompt without it, or later.`
+  /**
+   * Why a request must not be sent now; undefined if it may. A stream that has
+   * begun goes on, unless it is a trial: it may be a neighbour of the culprit.
+   */
+  refusal(spec: CallSpec, hasBegun: boolean): Failure | undefined {
+    if (hasBegun && !this.trials.has(spec)) return undefined;
+    const fingerprints = this.requests.isEmpty() ? [] : [fingerprint(spec)];
+    const parts = partsOf(spec);
+    const request = this.requests.findRefused(fingerprints);
+    const part = this.parts.findRefused(parts);
+    const retryAfterMs = Math.max(request?.forMs ?? 0, part?.forMs ?? 0);
+    if (retryAfterMs <= 0) {
+      return this.requests.isPending(fingerprints) ||
+        this.parts.isPending(parts)
+        ? PENDING
+        : undefined;
+    }
+    const message = part
+      ? `Several backend servers failed while running prompts with part ${part.key}. Send the prompt without it, or later.`
       : 'Several backend servers failed while running this request.';
     return createFailure('suspect-request', message, {retryAfterMs});
   }
 
   /** Records that a request is sent to a server. */
   recordTrial(spec: CallSpec): void {
-    this.requests.recordTrial(spec);
-    this.parts.recordTrial(spec);
-  }
-
-  /**
-   * Records a lost connection to a server that had a request. A server that has
-   * begun to answer was not lost because of this request.
-   */
-  recordLoss(spec: CallSpec, {server, heldMs, hadEvents}: Loss): void {
-    if (hadEvents) return;
-    this.requests.recordDisconnect(spec, server.id, heldMs);
-    this.parts.recordLoss(spec, server, heldMs);
+    const isRequestTrial =
+      !this.requests.isEmpty() &&
+      this.requests.recordTrial([fingerprint(spec)]);
+    const isPartTrial = this.parts.recordTrial(partsOf(spec));
+    if (isRequestTrial || isPartTrial) this.trials.add(spec);
   }
 
-  /** Records that a server has begun to answer a request. */
-  recordBegun(spec: CallSpec): void {
-    this.requests.recordAnswer(spec);
-    this.parts.recordAnswer(spec);
+  /** Records a lost connection to a server that ran a request. */
+  recordLoss(spec: CallSpec, {server, heldMs}: Loss): void {
+    this.options.applyAndAnnounce({
+      type: 'server-lost',
+      serverId: server.id,
+      processStartedAt: server.processStartedAt,
+      fingerprint: fingerprint(spec),
+      parts: this.parts.withoutAnswered(partsOf(spec)),
+      heldMs,
+    });
   }
 
-  /** Records a complete response, which clears a request of suspicion. */
+  /** Records a whole answer, which clears a request and its parts. */
   recordAnswer(spec: CallSpec): void {
-    this.requests.recordAnswer(spec);
+    this.parts.recordAnswer(partsOf(spec));
+    if (this.requests.isEmpty()) return;
+    this.requests.recordAnswer([fingerprint(spec)]);
   }
 
   /** Applies a change recorded by this gateway or by another one. */
   apply(change: SuspectChange): void {
-    if ('fingerprint' in change) this.requests.apply(change);
-    else this.parts.apply(change);
+    switch (change.type) {
+      case 'server-lost': {
+        const {serverId: id, processStartedAt, heldMs} = change;
+        const processId = serverProcessId({id, processStartedAt});
+        this.requests.recordLoss(id, [change.fingerprint], heldMs);
+        this.parts.recordLoss(processId, change.parts, heldMs);
+        return;
+      }
+      case 'suspects-answered':
+      case 'suspect-tried':
+      case 'suspect-blocked':
+        return this.listOf(change.kind)?.apply(change);
+    }
   }
 
   /** What a newly linked gateway should know. */
   changesForNewPeer(): readonly SuspectChange[] {
-    return this.parts.changesForNewPeer();
+    return [
+      ...this.requests.changesForNewPeer(),
+      ...this.parts.changesForNewPeer(),
+    ];
   }
 
-  /** Number of parts whose prompts are refused. */
-  blockedPartCount(): number {
-    return this.parts.blockedCount();
+  /** Numbers of requests and of parts that are refused. */
+  blockedCounts() {
+    return {
+      requests: this.requests.blockedCount(),
+      parts: this.parts.blockedCount(),
+    };
   }
 
   removeExpired(): void {
     this.requests.removeExpired();
     this.parts.removeExpired();
   }
+
+  /** A newer gateway may send kinds that are unknown here. */
+  private listOf(kind: string): SuspectList | undefined {
+    if (kind === 'request') return this.requests;
+    return kind === 'part' ? this.parts : undefined;
+  }
 }
--- a/packages/gateway/src/ports/backend_event.ts
+++ b/packages/gateway/src/ports/backend_event.ts
@@ -42,6 +42,11 @@
       /** The attempt ended without a complete response, and may have run. */
       readonly type: 'failed';
       readonly reason: string;
+      /**
+       * True if the server sent what is no answer, so its process goes on.
+       * @default false
+       */
+      readonly isAlive?: boolean;
       /** Milliseconds that a reused connection had lain idle before. */
       readonly idleMs?: number;
     };
--- a/playground/src/simulation/limited_deployment.ts
+++ b/playground/src/simulation/limited_deployment.ts
@@ -196,7 +196,7 @@
       now,
       onAvoided: () => undefined,
       onLimit: () => undefined,
-      onPartBlocked: () => undefined,
+      onSuspect: () => undefined,
       announce: change => this.announce(index, change),
       gatewayId: name,
       hash: hashText,
--- a/playground/src/simulation/run_simulation.ts
+++ b/playground/src/simulation/run_simulation.ts
@@ -123,7 +123,7 @@
       gatewayId: owner,
       hash: hashText,
       sendPermits: () => undefined,
-      onPartBlocked: () => undefined,
+      onSuspect: () => undefined,
       announce: change => broadcast(owner, change),
     };
     fleets.push(
