--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -143,3 +143,4 @@
 export * from './serving/prompt_worth.js';
 export * from './serving/partition_servers.js';
 export * from './serving/crash_evidence.js';
+export * from './serving/lost_servers.js';
--- a/packages/decisions/src/serving/__tests__/crash_suspects.test.ts
+++ b/packages/decisions/src/serving/__tests__/crash_suspects.test.ts
@@ -11,7 +11,11 @@
 function disconnectedAt(...serverIds: readonly string[]): State {
   return serverIds.reduce(
     (state, serverId) =>
-      crashEvidence.recordLoss(state, {serverId, keys: KEYS, heldMs: 0}, 0),
+      crashEvidence.recordLoss(
+        state,
+        {crashId: serverId, keys: KEYS, heldMs: 0},
+        0,
+      ),
     EMPTY,
   );
 }
@@ -44,7 +48,7 @@
     (known, serverId, i) =>
       crashEvidence.recordLoss(
         known,
-        {serverId, keys: KEYS, heldMs: 100},
+        {crashId: serverId, keys: KEYS, heldMs: 100},
         500 + i,
       ),
     EMPTY,
@@ -84,7 +88,7 @@
     (state, key) =>
       crashEvidence.recordLoss(
         state,
-        {serverId: 'a', keys: [key], heldMs: 0},
+        {crashId: 'a', keys: [key], heldMs: 0},
         0,
       ),
     EMPTY,
@@ -101,7 +105,7 @@
         (state, key) =>
           crashEvidence.recordLoss(
             state,
-            {serverId: `s${i}`, keys: [key], heldMs: 100},
+            {crashId: `s${i}`, keys: [key], heldMs: 100},
             i * 1_000,
           ),
         known,
@@ -140,7 +144,7 @@
     (known, serverId, i) =>
       crashEvidence.recordLoss(
         known,
-        {serverId, keys: KEYS, heldMs: 3_000},
+        {crashId: serverId, keys: KEYS, heldMs: 3_000},
         3_000 + i * 1_000,
       ),
     EMPTY,
--- a/packages/decisions/src/serving/__tests__/suspect_parts.test.ts
+++ b/packages/decisions/src/serving/__tests__/suspect_parts.test.ts
@@ -21,7 +21,7 @@
     (known, parts, i) =>
       crashEvidence.recordLoss(
         known,
-        {serverId: `s${i}`, keys: parts, heldMs: HELD_MS},
+        {crashId: `s${i}`, keys: parts, heldMs: HELD_MS},
         i * INTERVAL_MS,
       ),
     EMPTY,
@@ -40,7 +40,7 @@
     (known, serverId, i) =>
       crashEvidence.recordLoss(
         known,
-        {serverId, keys: ['p'], heldMs: HELD_MS},
+        {crashId: serverId, keys: ['p'], heldMs: HELD_MS},
         i,
       ),
     EMPTY,
--- a/packages/decisions/src/serving/crash_evidence.ts
+++ b/packages/decisions/src/serving/crash_evidence.ts
@@ -7,9 +7,9 @@
 import {judgeCrashSuspects} from './judge_crash_suspects.js';
 import {standsOut} from './stands_out.js';
 
-interface LostServer {
-  /** Identifies the process of the server. */
-  readonly serverId: string;
+interface Loss {
+  /** Identifies the crash, as requests of several gateways see it. */
+  readonly crashId: string;
   /** Keys of a request that the server ran. */
   readonly keys: readonly string[];
   /** Milliseconds from sending the request to the loss. */
@@ -46,14 +46,14 @@
 
 function addLoss(
   suspect: CrashSuspect,
-  {serverId, heldMs}: LostServer,
+  {crashId, heldMs}: Loss,
   now: number,
 ): CrashSuspect {
   const {losses, updatedAt} = suspect;
-  if (losses.some(loss => loss.serverId === serverId)) return suspect;
+  if (losses.some(loss => loss.crashId === crashId)) return suspect;
   const wasSentLater = now - heldMs >= updatedAt;
   const startsRound = wasSentLater || now - updatedAt >= ROUND_MS;
-  const loss = {serverId, at: now, startsRound};
+  const loss = {crashId, at: now, startsRound};
   return {
     ...suspect,
     losses: [...losses, loss].slice(-LOSSES_MAX),
@@ -75,13 +75,13 @@
   /** Records the loss of a server that ran a request with these keys. */
   recordLoss(
     state: CrashEvidenceState,
-    loss: LostServer,
+    loss: Loss,
     now: number,
   ): CrashEvidenceState {
-    const {serverId, keys} = loss;
-    const lostAt = state.lostAt.has(serverId)
+    const {crashId, keys} = loss;
+    const lostAt = state.lostAt.has(crashId)
       ? state.lostAt
-      : keepNewest(mapWith(state.lostAt, serverId, now), SERVERS_MAX);
+      : keepNewest(mapWith(state.lostAt, crashId, now), SERVERS_MAX);
     const suspects = keys.reduce<CrashEvidenceState['suspects']>(
       (known, key) =>
         mapWith(known, key, addLoss(known.get(key) ?? UNKNOWN, loss, now)),
--- a/packages/decisions/src/serving/crash_suspect.ts
+++ b/packages/decisions/src/serving/crash_suspect.ts
@@ -1,6 +1,6 @@
 /** The loss of a server that ran a request with a key. */
 interface SuspectLoss {
-  readonly serverId: string;
+  readonly crashId: string;
   /** Time in milliseconds. */
   readonly at: number;
   /** False for a loss beside an earlier one, which may have the same cause. */
--- a/packages/decisions/src/serving/stands_out.ts
+++ b/packages/decisions/src/serving/stands_out.ts
@@ -13,8 +13,8 @@
   return losses.filter(({startsRound}) => startsRound);
 }
 
-function serversOf({losses}: CrashSuspect): ReadonlySet<string> {
-  return new Set(losses.map(({serverId}) => serverId));
+function crashesOf({losses}: CrashSuspect): ReadonlySet<string> {
+  return new Set(losses.map(({crashId}) => crashId));
 }
 
 /** True if another key was there at all losses of this one. */
@@ -23,11 +23,11 @@
   key: string,
   suspect: CrashSuspect,
 ): boolean {
-  const servers = [...serversOf(suspect)];
+  const servers = [...crashesOf(suspect)];
   return [...suspects].some(([other, {losses}]) => {
     if (other === key || losses.length < servers.length) return false;
-    const lost = new Set(losses.map(({serverId}) => serverId));
-    return servers.every(serverId => lost.has(serverId));
+    const lost = new Set(losses.map(({crashId}) => crashId));
+    return servers.every(crashId => lost.has(crashId));
   });
 }
 
@@ -42,10 +42,10 @@
   const since = roundsOf(suspect).at(-BLOCK_AFTER_ROUNDS)?.at ?? -Infinity;
   const blocked = [...suspects.values()].filter(({isBlocked}) => isBlocked);
   const accounted = new Set(
-    [suspect, ...blocked].flatMap(known => [...serversOf(known)]),
+    [suspect, ...blocked].flatMap(known => [...crashesOf(known)]),
   );
   return [...lostAt].some(
-    ([serverId, at]) => at >= since && !accounted.has(serverId),
+    ([crashId, at]) => at >= since && !accounted.has(crashId),
   );
 }
 
--- a/packages/gateway/src/__tests__/crashing_request.test.ts
+++ b/packages/gateway/src/__tests__/crashing_request.test.ts
@@ -73,6 +73,21 @@
   };
 }
 
+const IDENTITIES = ['same-id', 'same-id-without-start'] as const;
+
+IDENTITIES.forEach(identity => {
+  test(`a request that crashes servers which restart as ${identity} stops being sent (BUDGET)`, () => {
+    [2, 3, 8].forEach(servers =>
+      [20, 45, 900].forEach(ms => {
+        const culprits = {[CULPRIT]: ms};
+        const result = play({servers, identity, culprits, culpritMs: 1_000});
+        expect(result.late).toBeLessThanOrEqual(LATE_RETRIES_MAX);
+        expect(result.refused).toEqual(0);
+      }),
+    );
+  });
+});
+
 const AFTER_MS = {
   'before its first event': 20,
   'right after its first event': 45,
--- a/packages/gateway/src/core/suspect_list.ts
+++ b/packages/gateway/src/core/suspect_list.ts
@@ -94,10 +94,10 @@
     if (suspected.length > 0) this.announceAnswered(suspected);
   }
 
-  /** Records the loss of a server that ran a request with these keys. */
-  recordLoss(serverId: string, keys: readonly string[], heldMs: number): void {
+  /** Records a crash of a server that ran a request with these keys. */
+  recordLoss(crashId: string, keys: readonly string[], heldMs: number): void {
     const suspected = this.withoutAnswered(keys);
-    const loss = {serverId, keys: suspected, heldMs};
+    const loss = {crashId, keys: suspected, heldMs};
     const now = this.options.now();
     this.evidence = crashEvidence.recordLoss(this.evidence, loss, now);
     const sound = keys.filter(key => !suspected.includes(key));
--- a/packages/gateway/src/core/suspects.ts
+++ b/packages/gateway/src/core/suspects.ts
@@ -1,4 +1,4 @@
-import {createFailure, serverProcessId} from '@figfall/decisions';
+import {createFailure, lostServers} from '@figfall/decisions';
 import type {BackendServer, Failure, SuspectChange} from '@figfall/decisions';
 import {computeFingerprint} from '@figfall/node-link';
 import type {CallSpec} from '../calls/call_spec.js';
@@ -49,6 +49,7 @@
 export class Suspects {
   private readonly requests: SuspectList;
   private readonly parts: SuspectList;
+  private lost = lostServers.empty();
   /** Requests that were sent as a trial. */
   private readonly trials = new WeakSet<CallSpec>();
 
@@ -125,11 +126,12 @@
   apply(change: SuspectChange): void {
     switch (change.type) {
       case 'server-lost': {
-        const {serverId: id, processStartedAt, heldMs} = change;
-        const processId = serverProcessId({id, processStartedAt});
-        this.requests.recordLoss(id, [change.fingerprint], heldMs);
-        this.parts.recordLoss(processId, change.parts, heldMs);
-        return;
+        const {fingerprint: key, parts, heldMs} = change;
+        const now = this.options.now();
+        const {lost, crashId} = lostServers.identify(this.lost, change, now);
+        this.lost = lost;
+        this.requests.recordLoss(crashId, [key], heldMs);
+        return this.parts.recordLoss(crashId, parts, heldMs);
       }
       case 'suspects-answered':
       case 'suspect-tried':
