--- a/packages/gateway/src/__tests__/resumed_streams.test.ts
+++ b/packages/gateway/src/__tests__/resumed_streams.test.ts
@@ -98,3 +98,53 @@
   });
   expect(received.failure?.ran).toEqual('no');
 });
+
+test('a resumed stream that ends before the events passed on does not look whole (ORDER, MIXED)', () => {
+  const {fixture, received} = interruptedStream(['a', 'b']);
+  begin(fixture, 1);
+  emitEvents(fixture, 1, -1, 'older');
+  fixture.attempts[1]?.emit({type: 'end'});
+  expect(received.text).toEqual('0');
+  expect(received.ended).toEqual(false);
+  expect(received.failure?.kind).toEqual('backend-error');
+});
+
+test('a stream whose events have a gap goes on elsewhere, or is cut, but never looks whole (ORDER)', () => {
+  const fixture = gatewayFixture(['a', 'b']);
+  const {received} = fixture.serve('/stream/x');
+  begin(fixture, 0);
+  emitEvents(fixture, 0, 0, '0');
+  emitEvents(fixture, 0, 2, '2');
+  expect(fixture.attempts[0]?.cancelled).toEqual(true);
+  expect(fixture.attempts[1]?.req.lastEventId).toEqual(0);
+  begin(fixture, 1);
+  emitEvents(fixture, 1, 2, '2');
+  fixture.attempts[1]?.emit({type: 'end'});
+  expect(received.text).toEqual('0');
+  expect(received.ended).toEqual(false);
+  expect(received.failure?.kind).toEqual('backend-error');
+});
+
+/** What a server may send instead of going on with a stream. */
+const ERRORS = {
+  'a plain 500': {status: 500, body: 'no'},
+  'a plain 404': {status: 404, body: 'no'},
+  'a plain 504': {status: 504, body: 'late'},
+  'an empty 204': {status: 204, body: ''},
+  'a plain 200': {status: 200, body: 'HTTP/1.1 200 OK\r\n\r\nid: 1\n\n'},
+};
+
+Object.entries(ERRORS).forEach(([what, {status, body}]) => {
+  test(`${what} in the place of the rest of a stream is not passed on (ORDER, MIXED)`, () => {
+    const {fixture, received} = interruptedStream(['a', 'b']);
+    fixture.attempts[1]?.emit({type: 'sent'});
+    fixture.attempts[1]?.emit({
+      type: 'response',
+      head: {status, headers: []},
+      body: Buffer.from(body),
+    });
+    expect(received.text).toEqual('0');
+    expect(received.ended).toEqual(false);
+    expect(received.failure?.ran).toEqual('yes');
+  });
+});
--- a/packages/gateway/src/calls/attempt_receiver.ts
+++ b/packages/gateway/src/calls/attempt_receiver.ts
@@ -9,6 +9,11 @@
 import type {GatewayCallContext} from './gateway_call_context.js';
 import {handleBackendEvent} from './handle_backend_event.js';
 
+const GAP_REASON = 'Events of the stream are missing.';
+
+const EARLY_END_REASON =
+  'The resumed stream ended before the events that were passed on.';
+
 interface AttemptReceiverOptions {
   readonly ctx: GatewayCallContext;
   readonly state: () => CallState;
@@ -24,6 +29,9 @@
  * call's state machine, and records what it tells of the server.
  */
 export class AttemptReceiver {
+  /** Index after the last event of an attempt, if it has sent any. */
+  private received?: {readonly attemptId: string; readonly nextIndex: number};
+
   constructor(private readonly options: AttemptReceiverOptions) {}
 
   receive(event: BackendEvent, attemptId: string): void {
@@ -45,9 +53,17 @@
       const {attempt, response, step} = this.options;
       if (attempt()?.markPrefilled()) this.recordOutcome('answered');
       const index = response.indexOf(firstId);
+      if (index > this.options.state().nextIndex) {
+        return this.fail('backend-error', GAP_REASON, attemptId);
+      }
+      this.received = {attemptId, nextIndex: index + texts.length};
       step({type: 'tokens', attemptId, index, texts});
     },
-    end: (_event, attemptId) => this.done(attemptId),
+    end: (_event, attemptId) => {
+      if (!this.endedEarly(attemptId)) return this.done(attemptId);
+      this.recordOutcome('failed');
+      this.fail('backend-error', EARLY_END_REASON, attemptId);
+    },
     response: ({head, body}, attemptId) =>
       this.onResponse(head, body, attemptId),
     failed: ({reason, idleMs}, attemptId) => {
@@ -56,6 +72,13 @@
     },
   };
 
+  /** True if a resumed stream ended before the events that were passed on. */
+  private endedEarly(attemptId: string): boolean {
+    const {received, options} = this;
+    if (received?.attemptId !== attemptId) return false;
+    return received.nextIndex < options.state().nextIndex;
+  }
+
   private onResponse(
     head: ResponseHead,
     body: Buffer,
