--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -144,3 +144,4 @@
 export * from './serving/partition_servers.js';
 export * from './serving/crash_evidence.js';
 export * from './serving/lost_servers.js';
+export * from './serving/trial_claims.js';
--- a/packages/decisions/src/serving/suspect_change.ts
+++ b/packages/decisions/src/serving/suspect_change.ts
@@ -22,6 +22,13 @@
       readonly kind: SuspectKind;
       readonly keys: readonly string[];
     }
+  | {
+      /** A gateway wants to make the next trial of a blocked key. */
+      readonly type: 'suspect-claimed';
+      readonly kind: SuspectKind;
+      readonly key: string;
+      readonly gatewayId: string;
+    }
   | {
       /** A request with a blocked key is sent, to learn if it still crashes. */
       readonly type: 'suspect-tried';
--- a/packages/gateway/src/__tests__/crash_fleet.ts
+++ b/packages/gateway/src/__tests__/crash_fleet.ts
@@ -71,9 +71,8 @@
       {length: options.servers},
       (_, index) => new CrashingServer(index, options.identity),
     );
-    const {random} = this;
-    this.gateways = Array.from({length: options.gateways}, () =>
-      gatewayFixture([], {random, retry: {ratio: 1, slack: 1_000}}),
+    this.gateways = Array.from({length: options.gateways}, (_, i) =>
+      this.startGateway(i),
     );
     this.list();
   }
@@ -94,9 +93,7 @@
 
   /** Replaces a gateway by a new process, which links with the others. */
   restart(gateway: number): void {
-    const {random} = this;
-    const fresh = gatewayFixture([], {random, retry: {ratio: 1, slack: 1_000}});
-    fresh.clock.now = this.now;
+    const fresh = this.startGateway(gateway);
     this.gateways
       .filter((_, i) => i !== gateway && !this.cutOff.has(i))
       .flatMap(({fleet}) => fleet.changesForNewPeer())
@@ -125,6 +122,16 @@
     return (this.now - START_MS + offsetMs) % intervalMs < STEP_MS;
   }
 
+  private startGateway(index: number): Fixture {
+    const started = gatewayFixture([], {
+      random: this.random,
+      retry: {ratio: 1, slack: 1_000},
+      gatewayId: `g${index}`,
+    });
+    started.clock.now = this.now;
+    return started;
+  }
+
   private step(): void {
     this.now += STEP_MS;
     this.restartServers();
--- a/packages/gateway/src/__tests__/crashing_part.test.ts
+++ b/packages/gateway/src/__tests__/crashing_part.test.ts
@@ -129,7 +129,11 @@
   const fixture = blockPart(other);
   fixture.clock.now += 60_000;
   const trial = send(fixture, 'trial', ['poison']);
+  // Another gateway may claim the trial at the same moment.
+  settle(fixture);
+  fixture.core.tick();
   expect(trial.received.failure).toEqual(undefined);
+  expect(fixture.attempts.at(-1)?.req.requestId).toEqual('trial');
   forward(fixture, other);
   const {received} = send(other, 'r1', ['poison']);
   expect(received.failure?.kind).toEqual('suspect-request');
--- a/packages/gateway/src/__tests__/crashing_request.test.ts
+++ b/packages/gateway/src/__tests__/crashing_request.test.ts
@@ -132,6 +132,45 @@
   expect(result.refused).toEqual(0);
 });
 
+[3, 31].forEach(gateways => {
+  test(`${gateways} gateways that get a refused request at the same moment make one trial (BUDGET)`, () => {
+    const result = play({
+      gateways,
+      servers: 16,
+      culprits: {[CULPRIT]: 20},
+      onStep: fleet => {
+        if (fleet.now < 20_000 || !fleet.isDue(500)) return;
+        for (let i = 0; i < gateways; i += 1) fleet.send(i, CULPRIT);
+      },
+    });
+    expect(result.late).toBeLessThanOrEqual(1);
+    expect(result.refused).toEqual(0);
+  });
+});
+
+test('gateways that restart, or are cut from the others, hold the bound together (BUDGET)', () => {
+  SEEDS.forEach(seed => {
+    const restarts = play({
+      seed,
+      onStep: fleet => {
+        if (fleet.now > 5_000 && fleet.isDue(4_000)) {
+          fleet.restart(Math.floor(fleet.random() * 3));
+        }
+      },
+    });
+    const cut = play({
+      seed,
+      onStep: fleet => {
+        if (fleet.now === 10_000) fleet.cutOff.add(0);
+        if (fleet.now === 20_000) fleet.cutOff.delete(0);
+      },
+    });
+    expect(restarts.late).toBeLessThanOrEqual(LATE_RETRIES_MAX);
+    expect(cut.late).toBeLessThanOrEqual(LATE_RETRIES_MAX);
+    expect([restarts.refused, cut.refused]).toEqual([0, 0]);
+  });
+});
+
 test('crashes of servers without a culprit refuse no request', () => {
   SEEDS.forEach(seed => {
     const rolling = play({
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -102,6 +102,8 @@
   readonly retry?: {readonly ratio: number; readonly slack: number};
   /** Servers that a route allows. */
   readonly maxAttempts?: number;
+  /** Id among all gateways. @default self */
+  readonly gatewayId?: string;
   /** @default always 0.5 */
   readonly random?: () => number;
   /** Engine of the backend servers; without one they are plain services. */
@@ -117,6 +119,7 @@
     maxAttempts = ROUTE.maxAttempts,
     engine,
     random = () => 0.5,
+    gatewayId = 'self',
   }: FixtureOptions = {},
 ) {
   const clock = {now: 1_000};
@@ -158,7 +161,7 @@
     announce: change => announced.push(change),
     onAvoided: () => undefined,
     onLimit: change => limitChanges.push(change),
-    gatewayId: 'self',
+    gatewayId,
     hash: hashText,
     sendPermits: (to, message) => sentPermits.push({to, message}),
     onSuspect: () => undefined,
--- a/packages/gateway/src/__tests__/suspect_list.test.ts
+++ b/packages/gateway/src/__tests__/suspect_list.test.ts
@@ -22,6 +22,7 @@
     limits: {blockMs: 60_000, suspectTtlMs: 60_000},
     answeredTtlMs: 60_000,
     now: () => clock.now,
+    gatewayId: 'self',
     applyAndAnnounce: change => list.apply(change as KeyChange),
     onBlocked: () => undefined,
   });
--- a/packages/gateway/src/core/suspect_list.ts
+++ b/packages/gateway/src/core/suspect_list.ts
@@ -1,4 +1,4 @@
-import {crashEvidence} from '@figfall/decisions';
+import {crashEvidence, trialClaims} from '@figfall/decisions';
 import type {SuspectChange} from '@figfall/decisions';
 import {RecentKeys} from './recent_keys.js';
 
@@ -19,6 +19,8 @@
    */
   readonly answeredTtlMs: number;
   readonly now: () => number;
+  /** Id of this gateway among all gateways. */
+  readonly gatewayId: string;
   /** Applies a change to this gateway's fleet and announces it to others. */
   readonly applyAndAnnounce: (change: SuspectChange) => void;
   /** Called when requests with a key begin or cease to be refused. */
@@ -34,6 +36,7 @@
 /** The keys of one kind that may crash servers, as all gateways know them. */
 export class SuspectList {
   private evidence: ReturnType<typeof crashEvidence.empty>;
+  private claims = trialClaims.empty();
   private readonly answered: RecentKeys;
   /** Keys that others suspected although they had been answered. */
   private objections: readonly string[] = [];
@@ -63,11 +66,28 @@
       .find(({forMs}) => forMs > 0);
   }
 
-  /** True if one of the keys is about to be blocked. */
-  isPending(keys: readonly string[]): boolean {
+  /**
+   * False while a request has to wait, because one of its keys is about to be
+   * blocked, or another gateway may make its trial.
+   */
+  mayRun(keys: readonly string[]): boolean {
     const {evidence, options} = this;
     const now = options.now();
-    return keys.some(key => crashEvidence.isPending(evidence, key, now));
+    return keys.every(key =>
+      crashEvidence.isBlocked(evidence, key)
+        ? this.mayTry(key)
+        : !crashEvidence.isPending(evidence, key, now),
+    );
+  }
+
+  /** Claims the trial of a key; true once no other gateway can have it. */
+  private mayTry(key: string): boolean {
+    const {kind, gatewayId, now, applyAndAnnounce} = this.options;
+    const claim = trialClaims.find(this.claims, key, now());
+    if (!claim) {
+      applyAndAnnounce({type: 'suspect-claimed', kind, key, gatewayId});
+    }
+    return claim ? trialClaims.isWon(claim, gatewayId, now()) : false;
   }
 
   /** Records that a request is sent; true if that is the trial of a key. */
@@ -181,6 +201,10 @@
   }
 
   private readonly handlers: KeyChangeHandlers = {
+    'suspect-claimed': ({key, gatewayId}) => {
+      const now = this.options.now();
+      this.claims = trialClaims.add(this.claims, {key, gatewayId}, now);
+    },
     'suspects-answered': ({keys}) => {
       keys.forEach(key => this.answered.add(key));
       this.evidence = crashEvidence.recordAnswer(this.evidence, keys);
--- a/packages/gateway/src/core/suspects.ts
+++ b/packages/gateway/src/core/suspects.ts
@@ -6,6 +6,8 @@
 
 interface SuspectsOptions {
   readonly now: () => number;
+  /** Id of this gateway among all gateways. */
+  readonly gatewayId: string;
   /** Applies a change to this gateway's fleet and announces it to others. */
   readonly applyAndAnnounce: (change: SuspectChange) => void;
   /** Called when requests of a key begin or cease to be refused. */
@@ -83,10 +85,9 @@
     const part = this.parts.findRefused(parts);
     const retryAfterMs = Math.max(request?.forMs ?? 0, part?.forMs ?? 0);
     if (retryAfterMs <= 0) {
-      return this.requests.isPending(fingerprints) ||
-        this.parts.isPending(parts)
-        ? PENDING
-        : undefined;
+      const mayRun =
+        this.requests.mayRun(fingerprints) && this.parts.mayRun(parts);
+      return mayRun ? undefined : PENDING;
     }
     const message = part
       ? `Several backend servers failed while running prompts with part ${part.key}. Send the prompt without it, or later.`
@@ -134,6 +135,7 @@
         return this.parts.recordLoss(crashId, parts, heldMs);
       }
       case 'suspects-answered':
+      case 'suspect-claimed':
       case 'suspect-tried':
       case 'suspect-blocked':
         return this.listOf(change.kind)?.apply(change);
