fix(gateway): an error while an answer is written does not leave its caller without one

What callers would see: none was seen; found by rereading the net for defects. An error thrown by the caller's side as the whole answer is written ended the call, but its caller got nothing. Change: the caller gets 500, or a reset if the response has begun; a response that has been ended stays. The test fails before (no failure is sent).

--- a/packages/gateway/src/__tests__/defects.test.ts
+++ b/packages/gateway/src/__tests__/defects.test.ts
@@ -63,3 +63,15 @@
   expect(values[0]?.value).toEqual(1);
   expect(gateway.core.isBusy()).toEqual(false);
 });
+
+test('an error while an answer is written does not leave its caller without one', () => {
+  const gateway = gatewayFixture(['a']);
+  const {received} = gateway.serve('/read/1');
+  const [attempt] = gateway.attempts;
+  attempt?.emit({type: 'sent'});
+  gateway.caller.isBroken = true;
+  attempt?.emit({type: 'response', head: HEAD, body: Buffer.from('read')});
+  expect(received.failure?.kind).toEqual('internal-error');
+  expect(received.failure?.ran).toEqual('unknown');
+  expect(gateway.core.isBusy()).toEqual(false);
+});
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -194,6 +194,7 @@
     };
     const sink: ResponseSink = {
       sendResponse: (head, body) => {
+        if (caller.isBroken) throw new Error('no answer can be written');
         startStream(head);
         received.text = body.toString();
         received.ended = true;
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -94,10 +94,9 @@
     const wasSent = this.attempts.count() > 0;
     const ran = wasSent && this.state.ran === 'no' ? 'unknown' : this.state.ran;
     const failure = createFailure('internal-error', message, {ran});
-    const wasEnded = this.state.phase === 'ended';
     this.state = {...this.state, phase: 'ended'};
     try {
-      if (!wasEnded) this.response.fail(failure);
+      this.response.fail(failure);
     } finally {
       this.closeIfEnded();
     }
