refactor(gateway): an attempt builds its request apart; crashes are called so

What the reread found: BackendAttempt.send did four things, and the evidence counted crashes under names of servers.

--- a/packages/decisions/src/serving/crash_evidence.ts
+++ b/packages/decisions/src/serving/crash_evidence.ts
@@ -28,11 +28,11 @@
 /** Largest number of keys kept; the oldest are dropped first. */
 const KEYS_MAX = 1_024;
 
-/** Largest number of lost servers kept; the oldest are dropped first. */
-const SERVERS_MAX = 256;
+/** Largest number of crashes kept; the oldest are dropped first. */
+const CRASHES_MAX = 256;
 
-/** Milliseconds for which a lost server is kept. */
-const LOST_TTL_MS = 600_000;
+/** Milliseconds for which a crash is kept. */
+const CRASH_TTL_MS = 600_000;
 
 /** Largest number of losses kept for a key. */
 const LOSSES_MAX = 16;
@@ -69,7 +69,7 @@
  */
 export const crashEvidence = {
   empty(limits: CrashEvidenceLimits): CrashEvidenceState {
-    return {limits, suspects: new Map(), lostAt: new Map()};
+    return {limits, suspects: new Map(), crashedAt: new Map()};
   },
 
   /** Records the loss of a server that ran a request with these keys. */
@@ -79,15 +79,15 @@
     now: number,
   ): CrashEvidenceState {
     const {crashId, keys} = loss;
-    const lostAt = state.lostAt.has(crashId)
-      ? state.lostAt
-      : keepNewest(mapWith(state.lostAt, crashId, now), SERVERS_MAX);
+    const crashedAt = state.crashedAt.has(crashId)
+      ? state.crashedAt
+      : keepNewest(mapWith(state.crashedAt, crashId, now), CRASHES_MAX);
     const suspects = keys.reduce<CrashEvidenceState['suspects']>(
       (known, key) =>
         mapWith(known, key, addLoss(known.get(key) ?? UNKNOWN, loss, now)),
       state.suspects,
     );
-    return {...state, lostAt, suspects: keepNewest(suspects, KEYS_MAX)};
+    return {...state, crashedAt, suspects: keepNewest(suspects, KEYS_MAX)};
   },
 
   /** Clears keys, because a server has answered a request with them in full. */
@@ -171,11 +171,17 @@
     const suspects = [...state.suspects].filter(([, suspect]) =>
       isCurrent(suspect),
     );
-    const lostAt = [...state.lostAt].filter(([, at]) => now - at < LOST_TTL_MS);
+    const crashedAt = [...state.crashedAt].filter(
+      ([, at]) => now - at < CRASH_TTL_MS,
+    );
     const isUnchanged =
       suspects.length === state.suspects.size &&
-      lostAt.length === state.lostAt.size;
+      crashedAt.length === state.crashedAt.size;
     if (isUnchanged) return state;
-    return {...state, suspects: new Map(suspects), lostAt: new Map(lostAt)};
+    return {
+      ...state,
+      suspects: new Map(suspects),
+      crashedAt: new Map(crashedAt),
+    };
   },
 };
--- a/packages/decisions/src/serving/stands_out.ts
+++ b/packages/decisions/src/serving/stands_out.ts
@@ -23,11 +23,11 @@
   key: string,
   suspect: CrashSuspect,
 ): boolean {
-  const servers = [...crashesOf(suspect)];
-  return [...suspects].some(([other, {losses}]) => {
-    if (other === key || losses.length < servers.length) return false;
-    const lost = new Set(losses.map(({crashId}) => crashId));
-    return servers.every(crashId => lost.has(crashId));
+  const crashes = [...crashesOf(suspect)];
+  return [...suspects].some(([other, known]) => {
+    if (other === key || known.losses.length < crashes.length) return false;
+    const others = crashesOf(known);
+    return crashes.every(crashId => others.has(crashId));
   });
 }
 
@@ -36,7 +36,7 @@
  * one. Servers then crash without it, so it may be there by chance.
  */
 function areOthersLost(
-  {suspects, lostAt}: CrashEvidenceState,
+  {suspects, crashedAt}: CrashEvidenceState,
   suspect: CrashSuspect,
 ): boolean {
   const since = roundsOf(suspect).at(-BLOCK_AFTER_ROUNDS)?.at ?? -Infinity;
@@ -44,7 +44,7 @@
   const accounted = new Set(
     [suspect, ...blocked].flatMap(known => [...crashesOf(known)]),
   );
-  return [...lostAt].some(
+  return [...crashedAt].some(
     ([crashId, at]) => at >= since && !accounted.has(crashId),
   );
 }
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -4,6 +4,7 @@
 import type {Fleet} from '../core/fleet.js';
 import type {BackendClient} from '../ports/backend_client.js';
 import type {BackendEvent} from '../ports/backend_event.js';
+import type {BackendRequest} from '../ports/backend_request.js';
 import {AttemptWork} from './attempt_work.js';
 import type {CallSpec} from './call_spec.js';
 import {placementServers} from './placement_servers.js';
@@ -147,46 +148,52 @@
   }
 
   private send(): void {
-    const {spec, server, placement, fleet, client, now} = this.options;
-    const {attemptId, lastEventId, onEvent} = this.options;
-    const {req} = spec;
-    const helpers = placement.helpers.flatMap(({serverId, reservedTokens}) => {
-      const helper = fleet.find(serverId);
-      if (!helper) return [];
-      const reservationId = reservedTokens > 0 ? attemptId : undefined;
-      return [{server: helper, reservationId}];
-    });
+    const {placement, fleet, client, now} = this.options;
     this.sentAt = now();
     placementServers(placement).forEach(id => fleet.limits.recordSend(id));
-    const sendNow = () =>
-      client.send(
-        {
-          requestId: req.requestId,
-          server,
-          method: req.method,
-          target: req.target,
-          headers: req.headers,
-          body: req.body,
-          workspace: spec.workspace,
-          idempotent: spec.idempotent,
-          timeoutMs: Math.max(1, Math.floor(spec.deadlineAt - now())),
-          lastEventId,
-          helpers,
-          priority: priorityOf(spec),
-        },
-        event => {
-          if (this.hasEnded) return;
-          this.updateSuspects(event);
-          onEvent(event);
-        },
-      );
     try {
-      this.exchange = sendNow();
+      const req = this.buildRequest();
+      this.exchange = client.send(req, event => this.receive(event));
     } catch (error) {
       this.refuseUnsent(error as Error);
     }
   }
 
+  private buildRequest(): BackendRequest {
+    const {spec, server, lastEventId, now} = this.options;
+    const {requestId, method, target, headers, body} = spec.req;
+    return {
+      requestId,
+      server,
+      method,
+      target,
+      headers,
+      body,
+      workspace: spec.workspace,
+      idempotent: spec.idempotent,
+      timeoutMs: Math.max(1, Math.floor(spec.deadlineAt - now())),
+      lastEventId,
+      helpers: this.helpers(),
+      priority: priorityOf(spec),
+    };
+  }
+
+  private helpers(): BackendRequest['helpers'] {
+    const {placement, fleet, attemptId} = this.options;
+    return placement.helpers.flatMap(({serverId, reservedTokens}) => {
+      const server = fleet.find(serverId);
+      if (!server) return [];
+      const reservationId = reservedTokens > 0 ? attemptId : undefined;
+      return [{server, reservationId}];
+    });
+  }
+
+  private receive(event: BackendEvent): void {
+    if (this.hasEnded) return;
+    this.updateSuspects(event);
+    this.options.onEvent(event);
+  }
+
   /** Ends the attempt, later, because the client could not send its request. */
   private refuseUnsent({message}: Error): void {
     const {server, onEvent} = this.options;
