fix(gateway): a server that stays down is lost once, and begun parts are not blamed with others (LOST)

Its logs: the shared part subject-2 was blocked together with crash-84, which crashed servers under it. Change: a loss at a server that was lost before is another crash only if the server has responded in between, or names another start. What fits less often than another key, or has begun to be answered where the other has not, is not blocked with it.

--- a/packages/decisions/src/serving/__tests__/suspect_parts.test.ts
+++ b/packages/decisions/src/serving/__tests__/suspect_parts.test.ts
@@ -65,6 +65,26 @@
   expect(blockedOf(lose(...four, together))).toEqual(['p', 'q']);
 });
 
+test('a part that servers had begun to answer is not blocked with one that they had not (LOST)', () => {
+  const parts = [0, 1, 2, 3, 4].reduce(
+    (known, i) =>
+      [
+        {keys: ['p', 'first'], hadEvents: false},
+        {keys: ['first'], hadEvents: i > 2},
+      ].reduce(
+        (state, loss) =>
+          crashEvidence.recordLoss(
+            state,
+            {crashId: `s${i}`, heldMs: HELD_MS, ...loss},
+            i * INTERVAL_MS,
+          ),
+        known,
+      ),
+    EMPTY,
+  );
+  expect(blockedOf(parts)).toEqual(['p']);
+});
+
 test('an answer clears the parts of its prompt, also a blocked one', () => {
   const lost = lose(['p', 'q'], ['p'], ['p']);
   const parts = crashEvidence.judge(lost, LOST_AT + 50);
--- a/packages/decisions/src/serving/crash_evidence.ts
+++ b/packages/decisions/src/serving/crash_evidence.ts
@@ -14,6 +14,8 @@
   readonly keys: readonly string[];
   /** Milliseconds from sending the request to the loss. */
   readonly heldMs: number;
+  /** True if the server had begun to answer. @default false */
+  readonly hadEvents?: boolean;
 }
 
 /** Milliseconds between losses that may have the same cause. */
@@ -39,6 +41,7 @@
 
 const UNKNOWN: CrashSuspect = {
   losses: [],
+  hasBegun: false,
   updatedAt: -Infinity,
   isBlocked: false,
   trials: 0,
@@ -46,16 +49,20 @@
 
 function addLoss(
   suspect: CrashSuspect,
-  {crashId, heldMs}: Loss,
+  {crashId, heldMs, hadEvents = false}: Loss,
   now: number,
 ): CrashSuspect {
   const {losses, updatedAt} = suspect;
-  if (losses.some(loss => loss.crashId === crashId)) return suspect;
+  const hasBegun = suspect.hasBegun || hadEvents;
+  if (losses.some(loss => loss.crashId === crashId)) {
+    return {...suspect, hasBegun};
+  }
   const wasSentLater = now - heldMs >= updatedAt;
   const startsRound = wasSentLater || now - updatedAt >= ROUND_MS;
   const loss = {crashId, at: now, startsRound};
   return {
     ...suspect,
+    hasBegun,
     losses: [...losses, loss].slice(-LOSSES_MAX),
     updatedAt: startsRound ? now : updatedAt,
   };
--- a/packages/decisions/src/serving/crash_suspect.ts
+++ b/packages/decisions/src/serving/crash_suspect.ts
@@ -10,6 +10,8 @@
 /** A key under which servers were lost and no request was answered since. */
 export interface CrashSuspect {
   readonly losses: readonly SuspectLoss[];
+  /** True if one of the lost requests had begun to be answered. */
+  readonly hasBegun: boolean;
   /** Time in milliseconds of the last round or trial. */
   readonly updatedAt: number;
   /** True if requests with the key are refused. */
--- a/packages/decisions/src/serving/lost_servers.ts
+++ b/packages/decisions/src/serving/lost_servers.ts
@@ -9,6 +9,8 @@
   readonly at: number;
   /** Start of the lost process, in Unix milliseconds, if known. */
   readonly processStartedAt?: number;
+  /** True if a server with the id has responded since. */
+  readonly isBack: boolean;
 }
 
 interface Loss {
@@ -38,20 +40,33 @@
 /** True if both losses are of one crash, seen by different requests. */
 function isSameCrash(known: LostServer, loss: Loss, now: number): boolean {
   if (now - loss.heldMs <= known.at) return true;
-  return now - known.at < RESTART_MS && !isRestarted(known, loss);
+  if (isRestarted(known, loss)) return false;
+  return !known.isBack || now - known.at < RESTART_MS;
 }
 
 /**
  * Tells the crashes of servers apart. A server may start again under the id that
  * it had; its entry may not name the start of its process, and gateways learn of
  * a restart at different times. A request that was sent after a loss and lost as
- * well was therefore at another process, unless it follows at once.
+ * well was at another process if the server has responded in between; otherwise
+ * the server may still be down.
  */
 export const lostServers = {
   empty(): LostServers {
     return new Map();
   },
 
+  /** Records a response of a server to a request that was sent at `sentAt`. */
+  recordResponse(
+    lost: LostServers,
+    serverId: string,
+    sentAt: number,
+  ): LostServers {
+    const known = lost.get(serverId);
+    if (!known || known.isBack || sentAt <= known.at) return lost;
+    return mapWith(lost, serverId, {...known, isBack: true});
+  },
+
   /** Returns an id of the crash that a loss belongs to, and the losses since. */
   identify(
     lost: LostServers,
@@ -64,7 +79,7 @@
       return {lost, crashId: `${serverId}#${known.count}`};
     }
     const count = (known?.count ?? 0) + 1;
-    const next = {count, at: now, processStartedAt};
+    const next = {count, at: now, processStartedAt, isBack: false};
     return {
       lost: keepNewest(mapWith(lost, serverId, next), SERVERS_MAX),
       crashId: `${serverId}#${count}`,
--- a/packages/decisions/src/serving/stands_out.ts
+++ b/packages/decisions/src/serving/stands_out.ts
@@ -4,7 +4,7 @@
 /** Rounds of losses after which a key that stands out is blocked. */
 const BLOCK_AFTER_ROUNDS = 3;
 
-/** Rounds of losses after which a key is blocked, though others fit too. */
+/** Rounds of losses after which a key is blocked, though others fit as well. */
 const BLOCK_ALL_AFTER_ROUNDS = 5;
 
 type Suspects = CrashEvidenceState['suspects'];
@@ -17,20 +17,31 @@
   return new Set(losses.map(({crashId}) => crashId));
 }
 
-/** True if another key was there at all losses of this one. */
-function isExplained(
+/** The other keys that were there at all losses of this one. */
+function othersThatFit(
   suspects: Suspects,
   key: string,
   suspect: CrashSuspect,
-): boolean {
+): readonly CrashSuspect[] {
   const crashes = [...crashesOf(suspect)];
-  return [...suspects].some(([other, known]) => {
-    if (other === key || known.losses.length < crashes.length) return false;
+  return [...suspects].flatMap(([other, known]) => {
+    if (other === key || known.losses.length < crashes.length) return [];
     const others = crashesOf(known);
-    return crashes.every(crashId => others.has(crashId));
+    return crashes.every(crashId => others.has(crashId)) ? [known] : [];
   });
 }
 
+/**
+ * True if another key that fits is the likelier culprit: it was there at more
+ * losses, or no server has begun to answer it, as servers have this one.
+ */
+function isLikelier(other: CrashSuspect, suspect: CrashSuspect): boolean {
+  return (
+    other.losses.length > suspect.losses.length ||
+    (suspect.hasBegun && !other.hasBegun)
+  );
+}
+
 /**
  * True if servers were lost meanwhile that ran neither this key nor a blocked
  * one. Servers then crash without it, so it may be there by chance.
@@ -60,10 +71,10 @@
   suspect: CrashSuspect,
 ): boolean {
   const rounds = roundsOf(suspect).length;
-  if (rounds >= BLOCK_ALL_AFTER_ROUNDS) return true;
-  return (
-    rounds >= BLOCK_AFTER_ROUNDS &&
-    !isExplained(state.suspects, key, suspect) &&
-    !areOthersLost(state, suspect)
-  );
+  if (rounds < BLOCK_AFTER_ROUNDS) return false;
+  const others = othersThatFit(state.suspects, key, suspect);
+  if (rounds >= BLOCK_ALL_AFTER_ROUNDS) {
+    return !others.some(other => isLikelier(other, suspect));
+  }
+  return others.length === 0 && !areOthersLost(state, suspect);
 }
--- a/packages/decisions/src/serving/suspect_change.ts
+++ b/packages/decisions/src/serving/suspect_change.ts
@@ -15,6 +15,8 @@
       readonly parts: readonly string[];
       /** Time in milliseconds from sending the request to the loss. */
       readonly heldMs: number;
+      /** True if the server had begun to answer. */
+      readonly hadEvents: boolean;
     }
   | {
       /** Keys under suspicion are of a request that was answered in full. */
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -29,6 +29,13 @@
   unanswered: 'unreachable',
 } as const;
 
+/** Events that only a server which is up can cause. */
+const RESPONSES: readonly BackendEvent['type'][] = [
+  'head',
+  'events',
+  'response',
+];
+
 type Exchange = ReturnType<BackendClient['send']>;
 
 function priorityOf({req}: CallSpec): number | undefined {
@@ -210,7 +217,12 @@
     const {spec, server, now, fleet} = this.options;
     const {suspects} = fleet;
     if (event.type === 'failed' && !event.isAlive) {
-      suspects.recordLoss(spec, {server, heldMs: now() - this.sentAt});
+      const {hadEvents} = this.progress();
+      const heldMs = now() - this.sentAt;
+      suspects.recordLoss(spec, {server, heldMs, hadEvents});
+    }
+    if (RESPONSES.includes(event.type)) {
+      suspects.recordResponse(server.id, this.sentAt);
     }
     // The end of a resumed stream says nothing of its beginning.
     const ranFromStart = this.options.lastEventId === undefined;
--- a/packages/gateway/src/core/suspect_list.ts
+++ b/packages/gateway/src/core/suspect_list.ts
@@ -2,6 +2,8 @@
 import type {SuspectChange} from '@figfall/decisions';
 import {RecentKeys} from './recent_keys.js';
 
+type Loss = Parameters<typeof crashEvidence.recordLoss>[1];
+
 type KeyChange = Extract<SuspectChange, {readonly kind: string}>;
 
 type KeyChangeHandlers = {
@@ -115,12 +117,12 @@
   }
 
   /** Records a crash of a server that ran a request with these keys. */
-  recordLoss(crashId: string, keys: readonly string[], heldMs: number): void {
-    const suspected = this.withoutAnswered(keys);
-    const loss = {crashId, keys: suspected, heldMs};
+  recordLoss(loss: Loss): void {
+    const keys = this.withoutAnswered(loss.keys);
     const now = this.options.now();
-    this.evidence = crashEvidence.recordLoss(this.evidence, loss, now);
-    const sound = keys.filter(key => !suspected.includes(key));
+    const suspected = {...loss, keys};
+    this.evidence = crashEvidence.recordLoss(this.evidence, suspected, now);
+    const sound = loss.keys.filter(key => !keys.includes(key));
     if (sound.length > 0) this.announceAnswered(sound);
   }
 
--- a/packages/gateway/src/core/suspects.ts
+++ b/packages/gateway/src/core/suspects.ts
@@ -22,6 +22,8 @@
   readonly server: BackendServer;
   /** Milliseconds from sending the request to the loss. */
   readonly heldMs: number;
+  /** True if the server had begun to answer. */
+  readonly hadEvents: boolean;
 }
 
 /** Makes a request wait until it is known whether it is to blame. */
@@ -105,7 +107,7 @@
   }
 
   /** Records a lost connection to a server that ran a request. */
-  recordLoss(spec: CallSpec, {server, heldMs}: Loss): void {
+  recordLoss(spec: CallSpec, {server, heldMs, hadEvents}: Loss): void {
     this.options.applyAndAnnounce({
       type: 'server-lost',
       serverId: server.id,
@@ -113,9 +115,15 @@
       fingerprint: fingerprint(spec),
       parts: this.parts.withoutAnswered(partsOf(spec)),
       heldMs,
+      hadEvents,
     });
   }
 
+  /** Records a response of a server to a request that was sent at `sentAt`. */
+  recordResponse(serverId: string, sentAt: number): void {
+    this.lost = lostServers.recordResponse(this.lost, serverId, sentAt);
+  }
+
   /** Records a whole answer, which clears a request and its parts. */
   recordAnswer(spec: CallSpec): void {
     this.parts.recordAnswer(partsOf(spec));
@@ -127,12 +135,13 @@
   apply(change: SuspectChange): void {
     switch (change.type) {
       case 'server-lost': {
-        const {fingerprint: key, parts, heldMs} = change;
+        const {fingerprint, parts, heldMs, hadEvents} = change;
         const now = this.options.now();
         const {lost, crashId} = lostServers.identify(this.lost, change, now);
         this.lost = lost;
-        this.requests.recordLoss(crashId, [key], heldMs);
-        return this.parts.recordLoss(crashId, parts, heldMs);
+        const loss = {crashId, heldMs, hadEvents};
+        this.requests.recordLoss({...loss, keys: [fingerprint]});
+        return this.parts.recordLoss({...loss, keys: parts});
       }
       case 'suspects-answered':
       case 'suspect-claimed':
