--- a/packages/gateway/src/__tests__/crashing_server.ts
+++ b/packages/gateway/src/__tests__/crashing_server.ts
@@ -1,4 +1,5 @@
 import type {BackendServer} from '@figfall/decisions';
+import {plainServer} from './plain_server.js';
 
 /** What a crashed server comes back as. */
 type Identity = 'new-id' | 'same-id' | 'same-id-without-start';
@@ -44,16 +45,6 @@
   }
 
   listed(): BackendServer {
-    return {
-      id: this.serverId,
-      service: 'plain',
-      host: '127.0.0.1',
-      port: 1,
-      zone: 'nord',
-      state: 'ready',
-      slots: 8,
-      coldUntil: 0,
-      processStartedAt: this.startedAt,
-    };
+    return {...plainServer(this.serverId), processStartedAt: this.startedAt};
   }
 }
--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -1,5 +1,4 @@
 import type {
-  BackendServer,
   EngineProfile,
   PermitMessage,
   ServingConfig,
@@ -16,6 +15,7 @@
 import type {BackendEvent} from '../ports/backend_event.js';
 import type {BackendRequest} from '../ports/backend_request.js';
 import type {CallerRequest} from '../ports/caller_request.js';
+import {plainServer} from './plain_server.js';
 
 const SILENT_LOGGER = {
   debug: () => undefined,
@@ -38,19 +38,6 @@
   failure?: Failure;
 }
 
-function server(id: string, service: string): BackendServer {
-  return {
-    id,
-    service,
-    host: '127.0.0.1',
-    port: 1,
-    zone: 'nord',
-    state: 'ready',
-    slots: 8,
-    coldUntil: 0,
-  };
-}
-
 const ROUTE = {
   host: 'a.test',
   maxAttempts: 2,
@@ -176,7 +163,7 @@
     retry,
   });
   const setServers = (...ids: readonly string[]): void =>
-    core.setServers(ids.map(id => server(id, 'plain')));
+    core.setServers(ids.map(plainServer));
   const configure = (): void => {
     const service = {name: 'plain', coldRequestsPerSecond: 0, engine};
     const routes = CONFIG.routes.map(route => ({...route, maxAttempts}));
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,6 +8,7 @@
 export * from './core/hash_text.js';
 export * from './core/permit_gateways.js';
 export * from './peers/host_port.js';
+export * from './peers/is_port.js';
 export * from './peers/open_peers.js';
 export * from './ports/backend_client.js';
 export * from './ports/backend_event.js';
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -5,12 +5,11 @@
 import type {Fleet} from '../core/fleet.js';
 import type {PermitGateways} from '../core/permit_gateways.js';
 import type {HostPort} from './host_port.js';
+import {isPort} from './is_port.js';
 
 /** Milliseconds after which the address of an unlinked gateway is dropped. */
 const PEER_EXPIRY_MS = 20_000;
 
-const PORT_MAX = 65_535;
-
 const WORK_STREAM = 'work';
 
 const PERMIT_STREAM = 'permits';
@@ -32,8 +31,7 @@
 
 /** False for an address that no connection can be made to. */
 function isDialable({host, port}: HostPort): boolean {
-  const isPort = Number.isInteger(port) && port >= 1 && port <= PORT_MAX;
-  return isPort && typeof host === 'string' && host !== '';
+  return isPort(port) && typeof host === 'string' && host !== '';
 }
 
 /** The other gateways that one gateway knows, and its links to them. */
--- a/playground/src/__tests__/odd_entries.test.ts
+++ b/playground/src/__tests__/odd_entries.test.ts
@@ -1,6 +1,7 @@
 import {Agent} from 'node:http';
 import {rmSync} from 'node:fs';
 import {test} from 'node:test';
+import {fakeStoreObjects} from '@figfall/gateway-server/testing';
 import {expect} from 'earl';
 import {sleep} from '../http/sleep.js';
 import {drawOddEntry} from '../soak/odd_entry.js';
@@ -17,16 +18,15 @@
 const WAVES = 2;
 
 /** An entry whose port is none; all else in it is sound. */
-const IMPOSSIBLE_PORT = {
+const IMPOSSIBLE_PORT = fakeStoreObjects.server({
   service: 'plain',
-  address: '127.0.0.1:80800',
+  port: 80_800,
   zone: 'nord',
-  version: '1',
   slots: 8,
-  state: 'ready',
-  coldRemainingMs: 0,
-  sequence: 1,
-};
+  isDraining: false,
+  coldMs: 0,
+  bornAt: 1,
+});
 
 async function startDeployment() {
   const deployment = await startSoakDeployment({
--- a/playground/src/soak/odd_entry.ts
+++ b/playground/src/soak/odd_entry.ts
@@ -1,17 +1,16 @@
+import {fakeStoreObjects} from '@figfall/gateway-server/testing';
 import {createRandom} from '../random/create_random.js';
 
 /** A sound entry, but for the address of a server that nobody runs. */
-const SOUND = {
+const SOUND = fakeStoreObjects.server({
   service: 'plain',
-  address: '127.0.0.1:9',
+  port: 9,
   zone: 'nord',
-  version: '1',
   slots: 8,
-  state: 'ready',
-  coldRemainingMs: 0,
-  sequence: 1,
-  born: 1,
-};
+  isDraining: false,
+  coldMs: 0,
+  bornAt: 1,
+});
 
 /** Levels of nesting beyond what a recursive encoder can take. */
 const DEEP_LEVELS = 2_500;
