--- /dev/null
+++ b/review/lib-2/run_case.mjs
@@ -0,0 +1,46 @@
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {dirname, join} from 'node:path';
+import process from 'node:process';
+import {setTimeout} from 'node:timers';
+import {fileURLToPath} from 'node:url';
+
+/** A case ends by itself well before it may run no longer. */
+const LIMIT_MS = 110_000;
+
+const EXIT_CODES = {held: 0, broken: 1, failed: 2};
+
+/**
+ * Runs a case and ends the process: with 1 if it found the rule broken, with 0 if
+ * the rule held, with 2 if the case could not run. `play` gets a folder, whether
+ * there is a disruption, what records a line, and what registers a clean-up.
+ */
+export async function runCase(url, play) {
+  const folder = mkdtempSync(join(tmpdir(), 'figfall-review-'));
+  const recordPath = join(dirname(fileURLToPath(url)), 'record.txt');
+  const lines = [];
+  const cleanUps = [];
+  const record = line => lines.push(line);
+  const hasTrouble = process.env.TROUBLE !== '0';
+  let code = EXIT_CODES.failed;
+  const finish = async () => {
+    for (const cleanUp of cleanUps.reverse()) await cleanUp();
+    rmSync(folder, {recursive: true, force: true});
+    lines.push(`exit code ${code}`);
+    writeFileSync(recordPath, `${lines.join('\n')}\n`);
+    process.exit(code);
+  };
+  setTimeout(() => {
+    record('The case took too long.');
+    void finish();
+  }, LIMIT_MS).unref();
+  record(`disruption: ${hasTrouble ? 'yes' : 'no'}`);
+  try {
+    const onEnd = cleanUp => cleanUps.push(cleanUp);
+    const isBroken = await play({folder, hasTrouble, record, onEnd});
+    code = isBroken ? EXIT_CODES.broken : EXIT_CODES.held;
+  } catch (error) {
+    record(`The case could not run: ${error.stack}`);
+  }
+  await finish();
+}
