--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -32,7 +32,7 @@
 /** Writes bytes that are no event, each as a chunk of its own, without end. */
 function sendEndlessly({res, echo, seal}) {
   let sentBytes = 0;
-  const piece = Buffer.from('1\r\nx\r\n'.repeat(1_000));
+  const piece = Buffer.from('1\r\nx\r\n'.repeat(40_000));
   const sendMore = () => {
     while (!res.socket?.destroyed) {
       sentBytes += piece.length;
