--- /dev/null
+++ b/review/9/case.mjs
@@ -0,0 +1,148 @@
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {sendRequest} from '../lib-2/client.mjs';
+import {buildConfig, HOST} from '../lib-2/config.mjs';
+import {planGateways, startGateway} from '../lib-2/gateway.mjs';
+import {ModelReplica} from '../lib-2/model_replica.mjs';
+import {runCase} from '../lib-2/run_case.mjs';
+import {startStore} from '../lib-2/store.mjs';
+
+const KEY = 'n2ctnfzs989anu6wsjnb';
+
+/** The part of 40 tokens that all prompts of the kind share. */
+const SHARED_PART = '5c1e07a2';
+/** The part that crashes replicas; never the last one. */
+const CRASHING_PART = 'dead0001';
+
+const GATEWAYS = 3;
+const REPLICAS = 4;
+const SETTLE_MS = 4_000;
+const CALM_MS = 8_000;
+const PLAY_MS = 45_000;
+const SOUND_INTERVAL_MS = 150;
+const CRASHING_INTERVAL_MS = 300;
+
+/** When killed processes are started again. */
+const RESTART_MS = 600;
+
+const CONTACT_TIMEOUT_MS = 3_000;
+const COUNTED_CRASHES = 5;
+const REQUESTS_MIN = 20;
+
+await runCase(import.meta.url, async ({folder, hasTrouble, record, onEnd}) => {
+  const store = await startStore();
+  onEnd(() => store.close());
+  const startedAt = performance.now();
+  const at = () => Math.round(performance.now() - startedAt);
+  const crashes = [];
+  const replicas = Array.from(
+    {length: REPLICAS},
+    (_, i) =>
+      new ModelReplica({
+        id: `i-7f3a91c${i}`,
+        store,
+        crashingPart: hasTrouble ? CRASHING_PART : undefined,
+        onCrash: id => {
+          crashes.push(performance.now());
+          record(`${at()} ms: ${id} crashes`);
+        },
+      }),
+  );
+  await Promise.all(replicas.map(replica => replica.start()));
+  replicas.forEach(replica => onEnd(() => replica.stop()));
+  store.put('config', 'main', buildConfig({version: 1, keys: {lab: [KEY]}}));
+  const plans = await planGateways(GATEWAYS);
+  const addresses = await Promise.all(plans.map(({name}) => store.open(name)));
+  const startAll = () =>
+    Promise.all(
+      plans.map((plan, i) =>
+        startGateway(plan, {folder, storeAddress: addresses[i]}),
+      ),
+    );
+  let running = await startAll();
+  onEnd(() => Promise.all(running.map(gateway => gateway.kill())));
+  await sleep(SETTLE_MS);
+
+  const answers = [];
+  const pending = [];
+  let count = 0;
+  const send = (kind, parts) => {
+    count += 1;
+    const id = `${kind}-${count}`;
+    const prefix = [...parts, `ffff${count}:4000`].join(',');
+    const call = {path: '/summary/2f', body: id, deadlineMs: 10_000};
+    const headers = {
+      'x-model': 'm',
+      'x-token-counts': '5000,400',
+      'x-prompt-prefix': prefix,
+    };
+    pending.push(
+      sendRequest(plans[count % GATEWAYS], {
+        ...{id, key: KEY, host: HOST, headers},
+        ...call,
+      }).then(answer => answers.push({kind, ...answer})),
+    );
+  };
+  let isOver = false;
+  const repeat = async (intervalMs, action) => {
+    while (!isOver) {
+      action();
+      await sleep(intervalMs);
+    }
+  };
+  const sound = repeat(SOUND_INTERVAL_MS, () =>
+    send('sound', [`${SHARED_PART}:40`]),
+  );
+  await sleep(CALM_MS);
+  const calmUntil = performance.now();
+  if (hasTrouble) {
+    record(`${at()} ms: all gateways are killed`);
+    await Promise.all(running.map(gateway => gateway.kill()));
+  }
+  const crashing = repeat(CRASHING_INTERVAL_MS, () =>
+    send('crashing', [`${SHARED_PART}:40`, `${CRASHING_PART}:800`]),
+  );
+  if (hasTrouble) {
+    await sleep(RESTART_MS);
+    running = await startAll();
+    record(`${at()} ms: all gateways are ready again`);
+  }
+  await sleep(PLAY_MS);
+  isOver = true;
+  await Promise.all([sound, crashing]);
+  await Promise.all(pending);
+
+  const fifthAt = crashes[COUNTED_CRASHES - 1] ?? crashes.at(-1) ?? calmUntil;
+  const countedFrom = fifthAt + 2 * CONTACT_TIMEOUT_MS;
+  const begun = list => list.filter(({status}) => status === 200).length;
+  const ofSound = answers.filter(({kind}) => kind === 'sound');
+  const before = ofSound.filter(({sentAt}) => sentAt < calmUntil - 1_000);
+  const after = ofSound.filter(({sentAt}) => sentAt > countedFrom);
+  answers
+    .toSorted((a, b) => a.sentAt - b.sentAt)
+    .forEach(({id, gateway, sentAt, status, tookMs, text}) =>
+      record(
+        `${Math.round(sentAt - startedAt)} ms: ${id} at ${gateway}, status ${status ?? '-'} after ${tookMs} ms ${status === 200 ? '' : text.slice(0, 160)}`,
+      ),
+    );
+  running.forEach(({name, log}) =>
+    log()
+      .split('\n')
+      .filter(line => line.includes('"suspect '))
+      .map(line => JSON.parse(line))
+      .forEach(({message, kind, key, time}) =>
+        record(`${time} ${name}: ${message}, ${kind} ${key}`),
+      ),
+  );
+  record(`crashes: ${crashes.length}`);
+  record(
+    `sound prompts in the calm: ${begun(before)} of ${before.length} begin`,
+  );
+  record(
+    `sound prompts later than ${2 * CONTACT_TIMEOUT_MS} ms after the fifth crash, or the last: ${begun(after)} of ${after.length} begin`,
+  );
+  if (Math.min(before.length, after.length) < REQUESTS_MIN) {
+    throw new Error('Too few prompts were sent.');
+  }
+  return begun(after) / after.length < begun(before) / before.length / 2;
+});
