--- a/review/lib-2/run_case.mjs
+++ b/review/lib-2/run_case.mjs
@@ -23,7 +23,10 @@
   const record = line => lines.push(line);
   const hasTrouble = process.env.TROUBLE !== '0';
   let code = EXIT_CODES.failed;
+  let isFinishing = false;
   const finish = async () => {
+    if (isFinishing) return;
+    isFinishing = true;
     for (const cleanUp of cleanUps.reverse()) await cleanUp();
     rmSync(folder, {recursive: true, force: true});
     lines.push(`exit code ${code}`);
@@ -34,6 +37,12 @@
     record('The case took too long.');
     void finish();
   }, LIMIT_MS).unref();
+  process.on('uncaughtException', error => {
+    record(`An error that nothing handled: ${error.stack}`);
+    if (isFinishing) return;
+    code = EXIT_CODES.failed;
+    void finish();
+  });
   ['SIGINT', 'SIGTERM'].forEach(signal =>
     process.once(signal, () => void finish()),
   );
