--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -67,17 +67,19 @@
   res.end();
 }
 
-await runCase(import.meta.url, async ({folder, hasTrouble, record, onEnd}) => {
+await runCase(async ({folder, hasTrouble, record, onEnd}) => {
   const store = await startStore();
   onEnd(() => store.close());
   let isGarbleDue = false;
   const garbled = [];
+  const runs = [];
   const models = await Promise.all(
     ['i-7f3a91c2', 'i-8a0b11d3', 'i-903c22e4'].map(id =>
       startReplica({
         id,
         slots: 11,
         run: call => {
+          runs.push(call.attemptId);
           if (!isGarbleDue) return sendStream(call);
           isGarbleDue = false;
           const answer = {at: performance.now(), isOver: false};
@@ -90,7 +92,6 @@
       }),
     ),
   );
-  const runs = [];
   const apps = await Promise.all(
     ['i-a1', 'i-a2', 'i-a3'].map(id =>
       startReplica({
@@ -177,7 +178,7 @@
     .toSorted((a, b) => a.sentAt - b.sentAt)
     .forEach(({id, sentAt, tookMs, status, isComplete, error}) =>
       record(
-        `${Math.round(sentAt - startedAt)} ms: ${id} status ${status ?? '-'} ${isComplete ? 'whole' : 'not whole'} after ${tookMs} ms ${error ?? ''}`,
+        `${Math.round(sentAt - startedAt)} ms: ${id} status ${status ?? '-'} ${isComplete ? 'whole' : 'not whole'} after ${tookMs} ms, ${runs.includes(id) ? 'run' : 'not run'} ${error ?? ''}`,
       ),
     );
   garbled.forEach(({at, sent}) =>
@@ -185,7 +186,7 @@
       `bytes without end: from ${Math.round(at - startedAt)} ms, ${sent()} bytes sent`,
     ),
   );
-  record(`runs of bookings and reads: ${runs.length}`);
+  record(`runs: ${runs.length}`);
   record(
     `longest time to an answer of a booking or read: ${Math.max(...plain.map(({tookMs}) => tookMs))} ms`,
   );
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -22,7 +22,7 @@
 
 const CONFIG_PROPAGATION_MS = 2_000;
 
-await runCase(import.meta.url, async ({folder, hasTrouble, record, onEnd}) => {
+await runCase(async ({folder, hasTrouble, record, onEnd}) => {
   const store = await startStore();
   onEnd(() => store.close());
   const runs = new Map();
@@ -107,13 +107,16 @@
       `${idOf(gateway)}: ${ranAt.length} requests with the key ran, the last one sent at ${Math.max(0, ...ranAt)} ms`,
     );
   });
-  stale
+  outcomes
     .toSorted((a, b) => a.sentAt - b.sentAt)
-    .forEach(({id, gateway, sentAt, status}) =>
+    .forEach(outcome => {
+      const {id, gateway, sentAt, status = '-'} = outcome;
+      const isRun = runs.has(id) ? 'run' : 'not run';
+      const verdict = stale.includes(outcome) ? ', too late' : '';
       record(
-        `${Math.round(sentAt - revokedAt)} ms: ${id} at ${gateway}, key taken away, ran: status ${status}`,
-      ),
-    );
+        `${Math.round(sentAt - revokedAt)} ms: ${id} with the key to ${gateway}, status ${status}, ${isRun}${verdict}`,
+      );
+    });
   record(
     `requests with the key: ${outcomes.length}; run though sent later than ${CONFIG_PROPAGATION_MS} ms after the acknowledgement: ${stale.length}`,
   );
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -29,7 +29,7 @@
 
 const DRAIN_MS = 2_000;
 
-await runCase(import.meta.url, async ({folder, hasTrouble, record, onEnd}) => {
+await runCase(async ({folder, hasTrouble, record, onEnd}) => {
   const store = await startStore();
   onEnd(() => store.close());
   const arrivals = [];
@@ -83,7 +83,11 @@
         const id = `booking-${sent.size + 1}`;
         sent.set(id, {gateway: gateway.name, at: performance.now()});
         const call = {path: '/booking/1', body: 'dose', deadlineMs: 4_000};
-        pending.push(sendRequest(gateway, {id, key: KEY, host: HOST, ...call}));
+        pending.push(
+          sendRequest(gateway, {id, key: KEY, host: HOST, ...call}).then(
+            ({status}) => (sent.get(id).status = status),
+          ),
+        );
       });
       await sleep(INTERVAL_MS);
     }
@@ -115,9 +119,17 @@
       `${id}: ${own.length} requests too late from ${names.join(' ') || 'none'}, the last one sent ${last} ms after the removal of its entry`,
     );
   });
-  late.forEach(({id, attemptId, gateway, afterMs}) =>
+  leftAt.forEach((time, id) =>
+    record(`${Math.round(time - startedAt)} ms: the entry of ${id} is removed`),
+  );
+  const reached = new Map();
+  arrivals.forEach(({id, attemptId}) =>
+    reached.set(attemptId, [...(reached.get(attemptId) ?? []), id]),
+  );
+  const lateIds = new Set(late.map(({attemptId}) => attemptId));
+  sent.forEach(({gateway, at, status = '-'}, id) =>
     record(
-      `${attemptId}, sent to ${gateway} ${afterMs} ms after the removal, reached ${id}`,
+      `${Math.round(at - startedAt)} ms: ${id} to ${gateway}, run by ${reached.get(id)?.join(' ') ?? 'none'}, status ${status}${lateIds.has(id) ? ', too late' : ''}`,
     ),
   );
   record(
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -32,12 +32,13 @@
 const COUNTED_CRASHES = 5;
 const REQUESTS_MIN = 20;
 
-await runCase(import.meta.url, async ({folder, hasTrouble, record, onEnd}) => {
+await runCase(async ({folder, hasTrouble, record, onEnd}) => {
   const store = await startStore();
   onEnd(() => store.close());
   const startedAt = performance.now();
   const at = () => Math.round(performance.now() - startedAt);
   const crashes = [];
+  const runs = new Map();
   const replicas = Array.from(
     {length: REPLICAS},
     (_, i) =>
@@ -45,6 +46,8 @@
         id: `i-7f3a91c${i}`,
         store,
         crashingPart: hasTrouble ? CRASHING_PART : undefined,
+        onRun: (attemptId, id) =>
+          runs.set(attemptId, [...(runs.get(attemptId) ?? []), id]),
         onCrash: id => {
           crashes.push(performance.now());
           record(`${at()} ms: ${id} crashes`);
@@ -135,7 +138,7 @@
     .toSorted((a, b) => a.sentAt - b.sentAt)
     .forEach(({id, gateway, sentAt, status, tookMs, text}) =>
       record(
-        `${Math.round(sentAt - startedAt)} ms: ${id} at ${gateway}, status ${status ?? '-'} after ${tookMs} ms ${status === 200 ? '' : text.slice(0, 160)}`,
+        `${Math.round(sentAt - startedAt)} ms: ${id} at ${gateway}, status ${status ?? '-'} after ${tookMs} ms, run by ${runs.get(id)?.join(' ') ?? 'none'} ${status === 200 ? '' : text.slice(0, 130)}`,
       ),
     );
   record(`crashes: ${crashes.length}`);
--- a/review/lib-2/model_replica.mjs
+++ b/review/lib-2/model_replica.mjs
@@ -22,8 +22,8 @@
   isUp = false;
   port = 0;
 
-  constructor({id, store, crashingPart, onCrash}) {
-    Object.assign(this, {id, store, crashingPart, onCrash});
+  constructor({id, store, crashingPart, onRun, onCrash}) {
+    Object.assign(this, {id, store, crashingPart, onRun, onCrash});
   }
 
   async start() {
@@ -83,6 +83,7 @@
     const from = Number(req.headers['last-event-id'] ?? -1) + 1;
     await sleep(PREFILL_MS);
     if (res.destroyed || this.born !== born) return;
+    this.onRun(attemptId, this.id);
     const parts = String(req.headers['x-prompt-prefix']);
     if (this.crashingPart && parts.includes(this.crashingPart)) {
       this.crash();
--- a/review/lib-2/run_case.mjs
+++ b/review/lib-2/run_case.mjs
@@ -1,9 +1,8 @@
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {appendFileSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
-import {dirname, join} from 'node:path';
+import {join} from 'node:path';
 import process from 'node:process';
 import {setTimeout} from 'node:timers';
-import {fileURLToPath} from 'node:url';
 
 /** A case ends by itself well before it may run no longer. */
 const LIMIT_MS = 116_000;
@@ -13,14 +12,16 @@
 /**
  * Runs a case and ends the process: with 1 if it found the rule broken, with 0 if
  * the rule held, with 2 if the case could not run. `play` gets a folder, whether
- * there is a disruption, what records a line, and what registers a clean-up.
+ * there is a disruption, what records a line, and what registers a clean-up. The
+ * record is the file that the first argument of the process names (`record.txt`); each
+ * line is written at once, so that it is there however the process ends.
  */
-export async function runCase(url, play) {
+export async function runCase(play) {
   const folder = mkdtempSync(join(tmpdir(), 'figfall-review-'));
-  const recordPath = join(dirname(fileURLToPath(url)), 'record.txt');
-  const lines = [];
+  const [, , recordPath = 'record.txt'] = process.argv;
+  writeFileSync(recordPath, '');
   const cleanUps = [];
-  const record = line => lines.push(line);
+  const record = line => appendFileSync(recordPath, `${line}\n`);
   const hasTrouble = process.env.TROUBLE !== '0';
   let code = EXIT_CODES.failed;
   let isFinishing = false;
@@ -29,8 +30,7 @@
     isFinishing = true;
     for (const cleanUp of cleanUps.reverse()) await cleanUp();
     rmSync(folder, {recursive: true, force: true});
-    lines.push(`exit code ${code}`);
-    writeFileSync(recordPath, `${lines.join('\n')}\n`);
+    record(`exit code ${code}`);
     process.exit(code);
   };
   setTimeout(() => {
