--- a/packages/gateway/src/core/create_gateway_metrics.ts
+++ b/packages/gateway/src/core/create_gateway_metrics.ts
@@ -19,6 +19,17 @@
       labelNames: ['route', 'result'],
       registers,
     }),
+    callerConnections: new Counter({
+      name: 'figfall_caller_connections_total',
+      help: 'Connections of callers that were accepted.',
+      registers,
+    }),
+    callersLeft: new Counter({
+      name: 'figfall_callers_left_total',
+      help: 'Requests whose callers left, by what they were doing: their body was arriving (reading), the close had come as they were to be started (starting), they waited or ran (started).',
+      labelNames: ['phase'],
+      registers,
+    }),
     zoneRequests: new Counter({
       name: 'figfall_zone_requests_total',
       help: 'Attempts sent to the own availability zone or to another one.',
