--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,7 @@
 export * from './calls/call_outcome.js';
 export * from './constants.js';
 export * from './core/add_fleet_gauges.js';
+export * from './core/call_handle.js';
 export * from './core/create_gateway_metrics.js';
 export * from './core/fleet.js';
 export * from './core/gateway_core.js';
