--- a/packages/http-client/src/index.ts
+++ b/packages/http-client/src/index.ts
@@ -12,3 +12,5 @@
 export * from './read_events.js';
 export * from './set_connect_timeout.js';
 export * from './idle_limited_agent.js';
+export * from './when_caller_leaves.js';
+export * from './when_closed.js';
--- a/platform/src/callers/when_caller_leaves.ts
+++ b/packages/http-client/src/when_caller_leaves.ts
@@ -3,8 +3,9 @@
 
 /**
  * Calls a listener once if the caller ends its connection before its response
- * has been handed over. A half-closed connection counts as ended: Node.js closes
- * it too, but only once what was written before has been read.
+ * has been handed over, and drops what is left of the response. A half-closed
+ * connection counts as ended: Node.js closes it too, but only once what was
+ * written before has been read.
  */
 export function whenCallerLeaves(
   res: ServerResponse,
@@ -16,6 +17,7 @@
     if (hasLeft || res.writableEnded) return;
     hasLeft = true;
     listener();
+    if (res.headersSent) res.destroy();
   };
   socket.once('end', onLeft);
   whenClosed(res, () => {
--- a/platform/src/__tests__/request_starts.test.ts
+++ b/packages/task/src/__tests__/read_first_queue.test.ts
@@ -1,22 +1,22 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
-import {RequestStarts} from '../callers/request_starts.js';
+import {ReadFirstQueue} from '../read_first_queue.js';
 
 /** Turns of an event loop whose polls a test plays. */
 function simulatedLoop() {
   const clock = {now: 0};
   let actions: (() => void)[] = [];
-  const starts = new RequestStarts({
+  const queue = new ReadFirstQueue({
     now: () => clock.now,
     afterPoll: action => actions.push(action),
   });
   const started: string[] = [];
   return {
     clock,
-    starts,
+    queue,
     started,
     add: (id: string, costMs = 0) =>
-      starts.add(() => {
+      queue.add(() => {
         started.push(id);
         clock.now += costMs;
       }),
@@ -51,11 +51,11 @@
 });
 
 test('connections that wait are read before requests are started', () => {
-  const {add, starts, started, endPoll} = simulatedLoop();
+  const {add, queue, started, endPoll} = simulatedLoop();
   add('r1');
   [2, 3, 4, 5].forEach(i => {
     endPoll();
-    starts.noteArrival();
+    queue.noteArrival();
     add(`r${i}`);
   });
   expect(started).toEqual([]);
@@ -65,10 +65,10 @@
 });
 
 test('reading does not hold up starts for ever', () => {
-  const {add, clock, starts, started, endPoll} = simulatedLoop();
+  const {add, clock, queue, started, endPoll} = simulatedLoop();
   add('r1');
   Array.from({length: 100}).forEach(() => {
-    starts.noteArrival();
+    queue.noteArrival();
     clock.now += 5;
     endPoll();
   });
@@ -86,16 +86,16 @@
 });
 
 test('all requests are started at once where the process stops', () => {
-  const {add, starts, started, endPoll} = simulatedLoop();
+  const {add, queue, started, endPoll} = simulatedLoop();
   ['r1', 'r2', 'r3'].forEach(id => add(id, 50));
-  starts.flush();
+  queue.flush();
   endPoll();
   expect(started).toEqual(['r1', 'r2', 'r3']);
 });
 
 test('a start that throws holds up no other', () => {
-  const {add, starts, started, endPoll} = simulatedLoop();
-  starts.add(() => {
+  const {add, queue, started, endPoll} = simulatedLoop();
+  queue.add(() => {
     throw new Error('a start that fails in a test');
   });
   add('r2');
--- a/packages/task/src/index.ts
+++ b/packages/task/src/index.ts
@@ -1,6 +1,7 @@
 export * from './create_task.js';
 export * from './listen_on.js';
 export * from './monotonic_now.js';
+export * from './read_first_queue.js';
 export * from './repeat_every.js';
 export * from './repeat_on_demand.js';
 export * from './report_defect.js';
