--- a/packages/gateway/src/__tests__/gateway_fixture.ts
+++ b/packages/gateway/src/__tests__/gateway_fixture.ts
@@ -98,6 +98,8 @@
   readonly random?: () => number;
   /** Engine of the backend servers; without one they are plain services. */
   readonly engine?: EngineProfile;
+  /** @default at once */
+  readonly afterReads?: (action: () => void) => void;
 }
 
 /** A gateway core with a manual clock and scripted backend servers. */
@@ -110,6 +112,7 @@
     engine,
     random = () => 0.5,
     gatewayId = 'self',
+    afterReads,
   }: FixtureOptions = {},
 ) {
   const clock = {now: 1_000};
@@ -168,6 +171,7 @@
     random,
     now: () => clock.now,
     retry,
+    afterReads,
   });
   const setServers = (...ids: readonly string[]): void =>
     core.setServers(ids.map(plainServer));
--- a/packages/gateway/src/calls/backend_attempt.ts
+++ b/packages/gateway/src/calls/backend_attempt.ts
@@ -8,6 +8,7 @@
 import type {BackendRequest} from '../ports/backend_request.js';
 import {AttemptWork} from './attempt_work.js';
 import type {CallSpec} from './call_spec.js';
+import {enginePriority} from './engine_priority.js';
 import {placementServers} from './placement_servers.js';
 import {ReservationGroup} from './reservation_group.js';
 
@@ -21,6 +22,8 @@
   readonly fleet: Fleet;
   readonly client: BackendClient;
   readonly now: () => number;
+  /** Runs an action once what callers have sent by then has been read. */
+  readonly afterReads: (action: () => void) => void;
   readonly onEvent: (event: BackendEvent) => void;
 }
 
@@ -39,22 +42,6 @@
 
 type Exchange = ReturnType<BackendClient['send']>;
 
-/** Number of priorities that an engine knows, 0 first. */
-const ENGINE_PRIORITIES = 10;
-
-/** Priority at the engine: by level, then short prompts before long ones. */
-function priorityOf({req, routeLevel}: CallSpec): number | undefined {
-  if (!req.prompt) return undefined;
-  const isLong = req.prompt.promptTokens > GATEWAY.LONG_PROMPT_TOKENS;
-  const {level, levels} = routeLevel;
-  if (levels > 1) {
-    const position = level * 2 + (isLong ? 1 : 0);
-    const step = Math.min(1, ENGINE_PRIORITIES / (levels * 2));
-    return Math.floor(position * step);
-  }
-  return isLong ? GATEWAY.LONG_PROMPT_PRIORITY : GATEWAY.SHORT_PROMPT_PRIORITY;
-}
-
 /** True for what no server sends that crashes under the request. */
 function isWholeAnswer(event: BackendEvent): boolean {
   if (event.type === 'end') return true;
@@ -152,8 +139,18 @@
     denials.forEach(({server, result}) =>
       this.options.fleet.recordOutcome(server.id, DENIAL_OUTCOMES[result]),
     );
+    if (denials.length > 0) return this.refuseUnreserved();
+    this.options.afterReads(() => this.sendReserved());
+  }
+
+  private sendReserved(): void {
+    if (this.hasEnded) return;
+    if (this.areServersOpen()) return this.send();
+    this.refuseUnreserved();
+  }
+
+  private refuseUnreserved(): void {
     if (this.hasEnded) return;
-    if (denials.length === 0 && this.areServersOpen()) return this.send();
     const failure = createFailure('memory-full', 'KV cache was not granted.');
     this.options.onEvent({type: 'refused', failure, unreachable: false});
   }
@@ -194,7 +191,7 @@
       timeoutMs: Math.max(1, Math.floor(spec.deadlineAt - now())),
       lastEventId,
       helpers: this.helpers(),
-      priority: priorityOf(spec),
+      priority: enginePriority(spec),
       memory,
     };
   }
--- a/packages/gateway/src/calls/call_attempts.ts
+++ b/packages/gateway/src/calls/call_attempts.ts
@@ -71,9 +71,16 @@
 
   /** Sends the request to the server of a placement. */
   open(target: AttemptTarget): BackendAttempt {
-    const {fleet, client, now} = this.ctx;
+    const {fleet, client, now, afterReads} = this.ctx;
     const spec = this.currentSpec();
-    return new BackendAttempt({spec, fleet, client, now, ...target});
+    return new BackendAttempt({
+      spec,
+      fleet,
+      client,
+      now,
+      afterReads,
+      ...target,
+    });
   }
 
   /** The request with the priority level of the configuration in force. */
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -20,6 +20,8 @@
 import {SILENCE_FAILURE} from './silence_failure.js';
 import {silenceTimeoutMs} from './silence_timeout_ms.js';
 
+type RouteCommand = Extract<CallCommand, {type: 'route'}>;
+
 /** Runs the state machine of one caller's request and its commands. */
 export class GatewayCall {
   private readonly response: CallResponse;
@@ -30,6 +32,8 @@
   private state: CallState;
   private placement?: Placement;
   private attempt?: BackendAttempt;
+  /** The retry that waits until what callers have sent has been read. */
+  private pendingRoute?: RouteCommand;
   private isClosed = false;
 
   constructor(private readonly ctx: GatewayCallContext) {
@@ -121,10 +125,25 @@
     this.step({type: 'alive', attemptId: this.state.attemptId ?? ''});
   }
 
-  private route({exclude}: Extract<CallCommand, {type: 'route'}>): void {
+  private route(command: RouteCommand): void {
     this.endAttempt();
     const hedge = this.hedging.current();
     if (hedge) return this.startAttempt(hedge.placement, hedge.attemptId);
+    if (this.attempts.count() === 0) return this.place(command);
+    const isPending = this.pendingRoute !== undefined;
+    this.pendingRoute = command;
+    if (!isPending) this.ctx.afterReads(() => this.retry());
+  }
+
+  /** Places the retry that was pending, unless the call has gone on or ended. */
+  private retry(): void {
+    const {pendingRoute} = this;
+    this.pendingRoute = undefined;
+    if (!pendingRoute || !this.isWaiting()) return;
+    this.guard(() => this.place(pendingRoute));
+  }
+
+  private place({exclude}: RouteCommand): void {
     const {attempts, response, state} = this;
     const options = {exclude, lastEventAt: response.lastEventAt()};
     attempts.place(options, state.lastFailure).match(
--- a/packages/gateway/src/calls/gateway_call_context.ts
+++ b/packages/gateway/src/calls/gateway_call_context.ts
@@ -14,6 +14,8 @@
   readonly client: BackendClient;
   /** Monotonic time in milliseconds. */
   readonly now: () => number;
+  /** Runs an action once what callers have sent by then has been read. */
+  readonly afterReads: (action: () => void) => void;
   /** Spends one retry of a service's budget; false if it is exhausted. */
   readonly spendRetry: (service: string) => boolean;
   /** Why the request must not be sent to a backend server now, if that is so. */
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -36,6 +36,11 @@
   /** Monotonic time in milliseconds. */
   readonly now: () => number;
   readonly retry: RetryBounds;
+  /**
+   * Runs an action once what callers have sent by then has been read.
+   * @default at once
+   */
+  readonly afterReads?: (action: () => void) => void;
 }
 
 /** Handle of a request that was rejected. */
@@ -53,6 +58,7 @@
   private hasServers = false;
   private readonly retries: RetryBudgets;
   private readonly startupQueue = new StartupQueue();
+  private readonly afterReads: (action: () => void) => void;
   private readonly startupRefusals: StartupRefusals;
   private notifyArrival: () => void = () => undefined;
   private readonly limitChecks: LimitChecks;
@@ -60,6 +66,7 @@
 
   constructor(private readonly options: GatewayCoreOptions) {
     this.startupRefusals = new StartupRefusals(options);
+    this.afterReads = options.afterReads ?? (action => action());
     this.shutdown = new ShutdownState(options.now);
     this.retries = new RetryBudgets(options.retry);
     const {limits} = options.fleet;
@@ -79,7 +86,7 @@
       version: config.version,
       routes: config.routes.length,
     });
-    if (this.hasInitialState()) this.startupQueue.flush();
+    this.startIfReady();
     return true;
   }
 
@@ -93,7 +100,7 @@
     this.options.fleet.setServers(servers);
     this.options.client.pruneConnections(servers);
     this.hasServers = true;
-    if (this.hasInitialState()) this.startupQueue.flush();
+    this.startIfReady();
   }
 
   /** Replaces the bounds of the retry budget. */
@@ -170,6 +177,12 @@
     if (!this.shutdown.maySend()) this.endWaiting();
   }
 
+  /** Starts the requests that came before the first configuration and servers. */
+  private startIfReady(): void {
+    if (!this.hasInitialState()) return;
+    this.startupQueue.takeAll().forEach(begin => this.afterReads(begin));
+  }
+
   private hasInitialState(): boolean {
     return this.config !== undefined && this.hasServers;
   }
@@ -207,6 +220,7 @@
       fleet,
       client,
       now,
+      afterReads: this.afterReads,
       spendRetry: service => this.spendRetry(service),
       sendRefusal: () => this.shutdown.sendRefusal(spec),
       currentPriority: () => currentPriority(spec, this.config),
--- a/packages/gateway/src/core/startup_queue.ts
+++ b/packages/gateway/src/core/startup_queue.ts
@@ -36,7 +36,14 @@
 
   /** Starts all queued requests in order of arrival. */
   flush(): void {
-    this.flushUntil(Infinity);
+    this.takeAll().forEach(begin => begin());
+  }
+
+  /** Takes out all queued requests, in order of arrival, to be started. */
+  takeAll(): readonly (() => void)[] {
+    const {queued} = this;
+    this.queued = [];
+    return queued.map(({begin}) => begin);
   }
 
   /** Starts the requests that may not wait beyond `now`. */
