fix(caller): the product's own entry starts no request of a caller that has left (GONE)

What callers saw: nothing; work ran to its end for callers that had left. Besides, the entry's core registers its listener for the caller's end as it handles a message; a close that came before was lost, and the work ran on. Change: the entry uses the same queue and the same notice of a caller's end; a listener that is registered after the end is called, too.

--- a/packages/caller/src/responses/create_completion_sink.ts
+++ b/packages/caller/src/responses/create_completion_sink.ts
@@ -1,5 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Failure} from '@figfall/decisions';
+import {whenCallerLeaves} from '@figfall/http-client';
 import type {CompletionRequest} from '../requests/completion_request.js';
 import type {CompletionSink} from './completion_sink.js';
 import {errorBody} from './error_body.js';
@@ -99,10 +100,6 @@
     onDrain: listener => {
       res.on('drain', listener);
     },
-    onDisconnect: listener => {
-      res.on('close', () => {
-        if (!res.writableEnded) listener();
-      });
-    },
+    onDisconnect: listener => whenCallerLeaves(res, listener),
   };
 }
--- a/packages/caller/src/server/create_caller_server.ts
+++ b/packages/caller/src/server/create_caller_server.ts
@@ -1,6 +1,6 @@
 import {createServer} from 'node:http';
 import {createFailure} from '@figfall/decisions';
-import {listenOn} from '@figfall/task';
+import {ReadFirstQueue, listenOn} from '@figfall/task';
 import {Effect} from 'effect';
 import type {Scope} from 'effect';
 import {sendFailure} from '../responses/send_failure.js';
@@ -21,12 +21,14 @@
 export function createCallerServer(
   options: CallerServerOptions,
 ): Effect.Effect<CallerServer, Error, Scope.Scope> {
+  const readFirst = new ReadFirstQueue();
   const server = createServer((req, res) => {
-    findRoute(req)(req, res, options).catch((error: Error) => {
+    findRoute(req)(req, res, {...options, readFirst}).catch((error: Error) => {
       if (res.headersSent) res.destroy();
       else sendFailure(res, createFailure('internal-error', error.message));
     });
   });
+  server.on('connection', () => readFirst.noteArrival());
   const stopListening = () => {
     server.close();
     server.closeIdleConnections();
--- a/packages/caller/src/server/find_route.ts
+++ b/packages/caller/src/server/find_route.ts
@@ -1,11 +1,14 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createFailure} from '@figfall/decisions';
+import {whenCallerLeaves} from '@figfall/http-client';
+import type {ReadFirstQueue} from '@figfall/task';
 import type {Failure} from '@figfall/decisions';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import {CALLER_API} from '../constants.js';
 import type {CompletionRequest} from '../requests/completion_request.js';
 import {parseCompletion} from '../requests/parse_completion.js';
+import {hasCallerLeft} from '../requests/has_caller_left.js';
 import {readBoundedBody} from '../requests/read_bounded_body.js';
 import {readIdempotencyKey} from '../requests/read_idempotency_key.js';
 import {readMetadata} from '../requests/read_metadata.js';
@@ -17,9 +20,14 @@
 type Route = (
   req: IncomingMessage,
   res: ServerResponse,
-  options: CallerServerOptions,
+  options: RouteOptions,
 ) => Promise<void>;
 
+interface RouteOptions extends CallerServerOptions {
+  /** Starts requests. */
+  readonly readFirst: ReadFirstQueue;
+}
+
 /** The metadata and the body of a request whose caller has access. */
 interface AuthorizedRequest {
   readonly metadata: RequestMetadata;
@@ -30,7 +38,7 @@
 
 async function authorize(
   req: IncomingMessage,
-  options: CallerServerOptions,
+  options: RouteOptions,
 ): Promise<Result<AuthorizedRequest, Failure>> {
   const metadata = readMetadata(req.headers).andThen(value => {
     const failure = options.handler.checkAccess(value);
@@ -51,6 +59,7 @@
       parseCompletion(kind, metadata, body),
     );
     if (parsed.isErr()) return sendFailure(res, parsed.error);
+    if (await hasCallerLeft(res, options.readFirst)) return;
     options.handler.complete(
       parsed.value,
       createCompletionSink(res, parsed.value),
@@ -64,6 +73,7 @@
   if (authorized.isErr()) return sendFailure(res, authorized.error);
   const key = readIdempotencyKey(req.headers);
   if (key.isErr()) return sendFailure(res, key.error);
+  if (await hasCallerLeft(res, options.readFirst)) return;
   const request = {
     ...authorized.value,
     service,
@@ -73,9 +83,7 @@
     idempotencyKey: key.value,
   };
   const response = await options.handler.callService(request, listener =>
-    res.on('close', () => {
-      if (!res.writableEnded) listener();
-    }),
+    whenCallerLeaves(res, listener),
   );
   if (response.isErr()) return sendFailure(res, response.error);
   const {status, contentType, body} = response.value;
--- a/packages/http-client/src/when_caller_leaves.ts
+++ b/packages/http-client/src/when_caller_leaves.ts
@@ -5,7 +5,7 @@
  * Calls a listener once if the caller ends its connection before its response
  * has been handed over, and drops what is left of the response. A half-closed
  * connection counts as ended: Node.js closes it too, but only once what was
- * written before has been read.
+ * written before has been read. A caller that has left already counts, too.
  */
 export function whenCallerLeaves(
   res: ServerResponse,
@@ -19,6 +19,7 @@
     listener();
     if (res.headersSent) res.destroy();
   };
+  if (socket.destroyed || socket.readableEnded) queueMicrotask(onLeft);
   socket.once('end', onLeft);
   whenClosed(res, () => {
     socket.off('end', onLeft);
