--- a/packages/task/src/__tests__/read_first_queue.test.ts
+++ b/packages/task/src/__tests__/read_first_queue.test.ts
@@ -75,6 +75,27 @@
   expect(started).toEqual(['r1']);
 });
 
+test('after a standstill there is another poll before the starts', () => {
+  const {add, clock, started, endPoll} = simulatedLoop();
+  add('r1');
+  endPoll();
+  clock.now += 1_500;
+  endPoll();
+  expect(started).toEqual([]);
+  endPoll();
+  expect(started).toEqual(['r1']);
+});
+
+test('a loop whose turns are all long starts requests nevertheless', () => {
+  const {add, clock, started, endPoll} = simulatedLoop();
+  add('r1');
+  [1, 2, 3, 4].forEach(() => {
+    clock.now += 300;
+    endPoll();
+  });
+  expect(started).toEqual(['r1']);
+});
+
 test('starts that take long leave room for a poll between them, in order', () => {
   const {add, started, endPoll} = simulatedLoop();
   ['r1', 'r2', 'r3', 'r4'].forEach(id => add(id, 15));
--- a/packages/task/src/read_first_queue.ts
+++ b/packages/task/src/read_first_queue.ts
@@ -7,6 +7,9 @@
 /** Milliseconds for which actions run in one turn of the event loop. */
 const RUN_MS = 20;
 
+/** Milliseconds from turn to turn after which the process may have stood still. */
+const STANDSTILL_MS = 100;
+
 interface ReadFirstQueueOptions {
   /** Monotonic time in milliseconds. @default monotonicNow */
   readonly now?: () => number;
@@ -35,6 +38,8 @@
   private hasArrived = false;
   /** Time since which reading goes before the actions. */
   private readFirstSince = 0;
+  private lastTurnAt = 0;
+  private hasPolledTwice = false;
 
   constructor(options: ReadFirstQueueOptions = {}) {
     this.now = options.now ?? monotonicNow;
@@ -64,22 +69,32 @@
     if (this.isScheduled) return;
     this.isScheduled = true;
     this.readFirstSince = this.now();
+    this.lastTurnAt = this.readFirstSince;
     this.afterPoll(() => this.onTurn());
   }
 
   private onTurn(): void {
-    const mayReadOn = this.now() - this.readFirstSince < READ_FIRST_MS;
-    const readsOn = this.hasArrived && mayReadOn;
-    this.hasArrived = false;
-    if (!readsOn) {
+    if (!this.readsOn()) {
       this.runSome();
       this.readFirstSince = this.now();
     }
+    this.hasArrived = false;
     this.turn += 1;
+    this.lastTurnAt = this.now();
     this.isScheduled = this.queue.size > 0;
     if (this.isScheduled) this.afterPoll(() => this.onTurn());
   }
 
+  /** True if another poll comes before the actions. */
+  private readsOn(): boolean {
+    const now = this.now();
+    // After a standstill nobody knows whether it came before the poll or after.
+    const stoodStill = now - this.lastTurnAt >= STANDSTILL_MS;
+    this.hasPolledTwice = stoodStill && !this.hasPolledTwice;
+    if (this.hasPolledTwice) return true;
+    return this.hasArrived && now - this.readFirstSince < READ_FIRST_MS;
+  }
+
   /** Runs actions that were queued in earlier turns, for `RUN_MS` at most. */
   private runSome(): void {
     const until = this.now() + RUN_MS;
