test(soak): callers that leave in crowds and during pauses (GONE)

Now crowds of 150 callers leave after 50 to 450 ms by a close, a reset or a half close, also while their gateway's process is stopped, and the servers tell whether a request reaches them, or work goes on, half a second after its caller's end. Earlier seeds keep their actions; the new ones are drawn by themselves.

--- a/playground/src/__tests__/check_invariants.test.ts
+++ b/playground/src/__tests__/check_invariants.test.ts
@@ -43,6 +43,7 @@
   arrivals: [],
   runs: [],
   linkHarms: [],
+  harnessDelays: [],
   noticeResponses: [],
   gatewayByRequestId: new Map([
     ['r1', 'g'],
--- a/playground/src/__tests__/plan_soak_actions.test.ts
+++ b/playground/src/__tests__/plan_soak_actions.test.ts
@@ -14,7 +14,7 @@
   expect(starts).toEqual(starts.toSorted((a, b) => a - b));
 });
 
-/** Types of the faults at the edges of processes, which were added last. */
+/** Types of the faults at the edges of processes, drawn by themselves. */
 const PROCESS_TYPES: readonly SoakAction['type'][] = [
   'log-reader-loss',
   'log-reader-stall',
@@ -26,14 +26,21 @@
   'unread-responses',
 ];
 
-test('50 seeds together draw all 32 types of actions', () => {
+/** Types of the callers that leave, which were added last. */
+const LEAVING_TYPES: readonly SoakAction['type'][] = [
+  'leaving-crowd',
+  'leaving-crowd-in-pause',
+];
+
+test('50 seeds together draw all 34 types of actions', () => {
   const types = new Set(
     Array.from({length: 50}, (_, seed) => planSoakActions({...OPTIONS, seed}))
       .flat()
       .map(({type}) => type),
   );
-  expect(types.size).toEqual(32);
+  expect(types.size).toEqual(34);
   expect(PROCESS_TYPES.every(type => types.has(type))).toEqual(true);
+  expect(LEAVING_TYPES.every(type => types.has(type))).toEqual(true);
 });
 
 /** Digest of the actions that seeds drew before silences were added. */
@@ -48,7 +55,8 @@
       ({type}) =>
         type !== 'server-silence' &&
         type !== 'server-limit' &&
-        !PROCESS_TYPES.includes(type),
+        !PROCESS_TYPES.includes(type) &&
+        !LEAVING_TYPES.includes(type),
     );
     const text = JSON.stringify(former);
     expect(createHash('sha256').update(text).digest('hex')).toEqual(digest);
--- a/playground/src/soak/check_invariants.ts
+++ b/playground/src/soak/check_invariants.ts
@@ -3,6 +3,7 @@
   RequestExecution,
 } from '@figfall/gateway-server/testing';
 import {checkCrashingPrompts} from './check_crashing_prompts.js';
+import {checkLeftCallers} from './check_left_callers.js';
 import {checkMemory} from './check_memory.js';
 import {checkSoundPrompts} from './check_sound_prompts.js';
 import {checkServerLimits} from './check_server_limits.js';
@@ -166,6 +167,7 @@
   checkCrashingPrompts,
   checkSoundPrompts,
   checkUnanswered,
+  checkLeftCallers,
   checkStops,
   checkExits,
   checkMemory,
--- a/playground/src/soak/plan_soak_actions.ts
+++ b/playground/src/soak/plan_soak_actions.ts
@@ -87,17 +87,26 @@
   {type: 'unread-responses'},
 ];
 
+/** Callers that leave, drawn by themselves likewise. */
+const LEAVING_ACTION_KINDS: readonly ActionKind[] = [
+  {type: 'leaving-crowd'},
+  {type: 'leaving-crowd-in-pause'},
+  {type: 'leaving-crowd-in-pause'},
+];
+
 /** Added to the seed for the kinds drawn apart. */
 const LATER_SEED_OFFSET = 1_000_003;
 const PROMPT_SEED_OFFSET = 2_000_003;
 const SILENCE_SEED_OFFSET = 3_000_003;
 const LIMIT_SEED_OFFSET = 4_000_003;
 const PROCESS_SEED_OFFSET = 5_000_003;
+const LEAVING_SEED_OFFSET = 6_000_003;
 
 const MEAN_INTERVAL_MS = 450;
 const LATER_MEAN_INTERVAL_MS = 1_200;
 const PROMPT_MEAN_INTERVAL_MS = 8_000;
 const PROCESS_MEAN_INTERVAL_MS = 1_000;
+const LEAVING_MEAN_INTERVAL_MS = 2_000;
 const MIN_DURATION_MS = 300;
 const MAX_DURATION_MS = 3_000;
 
@@ -163,12 +172,19 @@
     kinds: PROCESS_ACTION_KINDS,
     meanIntervalMs: PROCESS_MEAN_INTERVAL_MS,
   });
+  const leaving = drawActions({
+    ...options,
+    seed: options.seed + LEAVING_SEED_OFFSET,
+    kinds: LEAVING_ACTION_KINDS,
+    meanIntervalMs: LEAVING_MEAN_INTERVAL_MS,
+  });
   return [
     ...first,
     ...later,
     ...prompts,
     ...silences,
     ...limits,
+    ...leaving,
     ...(options.hasProcessFaults === false ? [] : processFaults),
   ].toSorted((a, b) => a.startMs - b.startMs);
 }
--- a/playground/src/soak/run_soak.ts
+++ b/playground/src/soak/run_soak.ts
@@ -4,6 +4,8 @@
 import {checkInvariants} from './check_invariants.js';
 import {countAnswers} from './count_answers.js';
 import {CrashingPrompts} from './crashing_prompts.js';
+import {HarnessDelays} from './harness_delays.js';
+import {LeavingCallers} from './leaving_callers.js';
 import {MEMORY_LIMIT_MB} from './memory_limit_mb.js';
 import {planPlantedFault} from './plan_planted_fault.js';
 import {planSoakActions} from './plan_soak_actions.js';
@@ -163,10 +165,12 @@
     port: SOAK_PORTS.callers,
     onRequest: (outcome, gateway) => callers.record(outcome, gateway),
   });
+  const leavingCallers = new LeavingCallers({seed, callers});
   const injector = new SoakFaultInjector({
     deployment,
     now,
     slowCallers,
+    leavingCallers,
     sendCrashingPrompts: forMs => {
       const part = `crash-${callers.outcomes.length}`;
       crashing.add(part);
@@ -178,6 +182,7 @@
     ? planPlantedFault(plantedFault, {servers, durationMs})
     : planSoakActions({seed, durationMs, gateways, servers, hasProcessFaults});
   await pollUntil(() => isServing(callers, deployment), RECOVERY_LIMIT_MS);
+  const harnessDelays = new HarnessDelays(now);
   const callersDone = callers.run();
   const startedAt = now();
   for (const action of plan) {
@@ -195,6 +200,7 @@
     () => heldReservationIds(deployment).length === 0,
     RESERVATION_LIMIT_MS,
   );
+  harnessDelays.stop();
   const leakedReservationIds = heldReservationIds(deployment);
   callers.close();
   const stops = [...injector.stops, ...(await closeDeployment(deployment))];
@@ -215,6 +221,7 @@
     sentAtByRequestId: callers.sentAtByRequestId,
     gatewayDisruptions: injector.gatewayDisruptions,
     linkHarms: injector.linkHarms,
+    harnessDelays: harnessDelays.spans,
     promptCrashes: crashing.crashes,
     crashingPartByRequestId: crashing.partByRequestId,
     drains: injector.drains,
--- a/playground/src/soak/slow_callers.ts
+++ b/playground/src/soak/slow_callers.ts
@@ -1,6 +1,7 @@
 import {startSlowCaller} from '@figfall/gateway-server/testing';
 import type {CallerOutcome} from '@figfall/gateway-server/testing';
 import {CALLER_TIMEOUT_MS} from './caller_timeout_ms.js';
+import {startOneByOne} from './start_one_by_one.js';
 
 interface SlowCallersOptions {
   /** Part of all request ids, so that they differ from those of other callers. */
@@ -26,17 +27,9 @@
 
 const CREDENTIALS = {workspace: 'lindenau', apiKey: 'key-a'};
 
-/** Starts callers; returns a function that ends them, and starts no more. */
-function startOneByOne(startCaller: () => () => void): () => void {
-  const ends: (() => void)[] = [];
-  const timer = setInterval(() => {
-    ends.push(startCaller());
-    if (ends.length === COUNT) clearInterval(timer);
-  }, INTERVAL_MS);
-  return () => {
-    clearInterval(timer);
-    ends.forEach(end => end());
-  };
+/** Starts the slow callers of one action; returns a function that ends them. */
+function startCallers(start: () => () => void): () => void {
+  return startOneByOne({count: COUNT, intervalMs: INTERVAL_MS, start});
 }
 
 /** Callers that hold requests open at one gateway, many at once. */
@@ -48,7 +41,7 @@
   /** Sends bodies but for the last byte. Returns a function that ends them. */
   sendUnfinishedBodies({host}: Gateway): () => void {
     const {port} = this.options;
-    return startOneByOne(() =>
+    return startCallers(() =>
       startSlowCaller({
         address: {host, port},
         ...CREDENTIALS,
@@ -63,7 +56,7 @@
   /** Asks for large responses and reads none of them; ends likewise. */
   leaveResponsesUnread({host, name}: Gateway): () => void {
     const {port} = this.options;
-    return startOneByOne(() => {
+    return startCallers(() => {
       const requestId = this.nextId();
       const target = `/bulk/${requestId}/?fill=${BODY_BYTES}`;
       this.options.onRequest(this.outcomeOf(requestId, target), name);
--- a/playground/src/soak/soak_action.ts
+++ b/playground/src/soak/soak_action.ts
@@ -39,6 +39,8 @@
         | 'reload-series'
         | 'unfinished-bodies'
         | 'unread-responses'
+        | 'leaving-crowd'
+        | 'leaving-crowd-in-pause'
         | 'unasked-end';
     }
   | {
--- a/playground/src/soak/soak_callers.ts
+++ b/playground/src/soak/soak_callers.ts
@@ -1,6 +1,6 @@
 import {Agent} from 'node:http';
 import {sendCallerRequest} from '@figfall/gateway-server/testing';
-import type {CallerOutcome} from '@figfall/gateway-server/testing';
+import type {CallerLeave, CallerOutcome} from '@figfall/gateway-server/testing';
 import {createRandom} from '../random/create_random.js';
 import {sleep} from '../http/sleep.js';
 import {CALLER_TIMEOUT_MS} from './caller_timeout_ms.js';
@@ -136,6 +136,7 @@
       /** @default the first valid ones */
       readonly credentials?: Credentials;
       readonly disconnectAfterMs?: number;
+      readonly leaveBy?: CallerLeave;
       /** Where a planted fault ends the connection. */
       readonly cutAt?: 'response' | 'body';
       /** Part of the prompt under which servers crash. */
@@ -174,6 +175,7 @@
       outputTokens: 1 + this.randomBelow(MAX_OUTPUT_TOKENS),
       timeoutMs: CALLER_TIMEOUT_MS,
       disconnectAfterMs,
+      leaveBy: request.leaveBy,
       cutAt: request.cutAt,
     });
     this.outcomes.push(outcome);
--- a/playground/src/soak/soak_fault_injector.ts
+++ b/playground/src/soak/soak_fault_injector.ts
@@ -1,6 +1,8 @@
 import type {ActionHandlers} from './action_handlers.js';
+import {createLeavingHandlers} from './create_leaving_handlers.js';
 import {createProcessHandlers} from './create_process_handlers.js';
 import {createServerHandlers} from './create_server_handlers.js';
+import type {LeavingCallers} from './leaving_callers.js';
 import {pickTarget} from './pick_target.js';
 import type {SoakAction} from './soak_action.js';
 import type {SoakObservations} from './soak_observations.js';
@@ -21,6 +23,7 @@
   /** Sends prompts that crash servers for a while. */
   readonly sendCrashingPrompts: (durationMs: number) => void;
   readonly slowCallers: SlowCallers;
+  readonly leavingCallers: LeavingCallers;
 }
 
 /** Time in which a gateway that was stopped or killed is up again. */
@@ -122,6 +125,17 @@
     this.gatewayDisruptions.push({gateway: name, cause, from, to});
   }
 
+  private pauseGateway(action: SoakAction): void {
+    const gateway = this.targetGateway(action);
+    if (this.stopping.has(gateway)) return;
+    this.disruptGateway(gateway, 'pause', action.durationMs);
+    this.disrupt(
+      action.durationMs,
+      () => gateway.process.signal('SIGSTOP'),
+      () => gateway.process.signal('SIGCONT'),
+    );
+  }
+
   private killGateway(gateway: Gateway, downMs: number): void {
     this.stopping.delete(gateway);
     this.disruptGateway(gateway, 'kill', downMs);
@@ -152,6 +166,12 @@
       onDrain: drain => this.drains.push(drain),
       onLinkHarm: harm => this.linkHarms.push(harm),
     }),
+    ...createLeavingHandlers({
+      gatewayCount: () => this.options.deployment.gateways.length,
+      leavingCallers: () => this.options.leavingCallers,
+      pauseGateway: action => this.pauseGateway(action),
+      hold: (durationMs, release) => this.hold(durationMs, release),
+    }),
     ...createProcessHandlers({
       gateways: () => this.options.deployment.gateways,
       slowCallers: () => this.options.slowCallers,
@@ -168,16 +188,7 @@
     'gateway-stop': action => {
       this.pendingStops.push(this.stopGateway(this.targetGateway(action)));
     },
-    'gateway-pause': action => {
-      const gateway = this.targetGateway(action);
-      if (this.stopping.has(gateway)) return;
-      this.disruptGateway(gateway, 'pause', action.durationMs);
-      this.disrupt(
-        action.durationMs,
-        () => gateway.process.signal('SIGSTOP'),
-        () => gateway.process.signal('SIGCONT'),
-      );
-    },
+    'gateway-pause': action => this.pauseGateway(action),
     'gateway-reload': action => {
       const {process} = this.targetGateway(action);
       if (process.handlesReload()) process.reload();
--- a/playground/src/soak/soak_observations.ts
+++ b/playground/src/soak/soak_observations.ts
@@ -32,6 +32,8 @@
   })[];
   /** Spans in which the link to a server stalled the connections in use. */
   readonly linkHarms: readonly (TimeSpan & {readonly serverId: string})[];
+  /** Spans in which the harness's own event loop was late. */
+  readonly harnessDelays: readonly TimeSpan[];
   /** Backend servers that drained, and when the store listed them as draining. */
   readonly drains: readonly {
     readonly serverId: string;
