fix(gateway): a request whose deadline has passed is sent to no server

What callers saw: nothing; their deadline had passed, and a server got the request with one millisecond left. Cause: the time left was rounded up to a millisecond, and the deadline itself was only checked by the next regular check. After a standstill both may be due. Evidence: the new test fails on the code before (the request is sent).

--- a/packages/gateway/src/__tests__/leaving_callers.test.ts
+++ b/packages/gateway/src/__tests__/leaving_callers.test.ts
@@ -48,6 +48,14 @@
   expect(attempts.length).toEqual(2);
 });
 
+test('a request whose deadline has passed is refused at once and sent nowhere', () => {
+  const {attempts, serve, clock} = gatewayFixture();
+  const {received} = serve('/read/x', {arrivedAt: clock.now - 8_000});
+  expect(attempts.length).toEqual(0);
+  expect(received.failure?.kind).toEqual('deadline-exceeded');
+  expect(received.failure?.ran).toEqual('no');
+});
+
 test('requests that waited for the first configuration start once closes are read (GONE)', () => {
   const {afterReads, finish} = pendingReads();
   const {attempts, serve, configure} = gatewayFixture(['a', 'b'], {
--- a/packages/gateway/src/calls/call_attempts.ts
+++ b/packages/gateway/src/calls/call_attempts.ts
@@ -20,6 +20,12 @@
   readonly onEvent: (event: BackendEvent) => void;
 }
 
+const DEADLINE_PASSED = createFailure(
+  'deadline-exceeded',
+  'The deadline passed before the request could be sent.',
+  {ran: 'no'},
+);
+
 /** Places the attempts of one call within the retry budget, and sends them. */
 export class CallAttempts {
   private placed = 0;
@@ -45,7 +51,8 @@
     options: PlaceOptions,
     lastFailure?: Failure,
   ): Result<Placement, Failure> {
-    const {spec, fleet, observer, spendRetry, sendRefusal} = this.ctx;
+    const {spec, fleet, observer, spendRetry, sendRefusal, now} = this.ctx;
+    if (now() >= spec.deadlineAt) return err(lastFailure ?? DEADLINE_PASSED);
     const refusal = sendRefusal();
     if (refusal) return err(lastFailure ?? refusal);
     const hasBegun = options.lastEventAt !== undefined;
