--- a/packages/task/src/__tests__/repeat_on_demand.test.ts
+++ b/packages/task/src/__tests__/repeat_on_demand.test.ts
@@ -1,5 +1,6 @@
 import {test} from 'node:test';
 import {expect} from 'earl';
+import {monotonicNow} from '../monotonic_now.js';
 import {repeatOnDemand} from '../repeat_on_demand.js';
 import {runScoped} from '../run_scoped.js';
 
@@ -10,7 +11,7 @@
   let onRun = () => undefined as void;
   const nextRun = () => new Promise<void>(resolve => (onRun = resolve));
   const first = nextRun();
-  const {value: wake, close} = await runScoped(
+  const {value, close} = await runScoped(
     repeatOnDemand({
       intervalMs: 1,
       idleMs: 3_600_000,
@@ -24,9 +25,25 @@
   await first;
   const second = nextRun();
   isNeeded = true;
-  setImmediate(wake);
+  setImmediate(value.wake);
   await second;
   await nextRun();
   await close();
   expect(runs).toBeGreaterThanOrEqual(3);
 });
+
+test('a timer tells by how much the event loop is late', async () => {
+  const {value, close} = await runScoped(
+    repeatOnDemand({
+      intervalMs: 1,
+      idleMs: 1,
+      isNeeded: () => true,
+      action: () => undefined,
+    }),
+  );
+  const before = monotonicNow();
+  while (monotonicNow() < before + 50);
+  const lateMs = value.lateMs();
+  await close();
+  expect(lateMs).toBeGreaterThanOrEqual(48);
+});
--- a/packages/task/src/repeat_on_demand.ts
+++ b/packages/task/src/repeat_on_demand.ts
@@ -15,7 +15,17 @@
   readonly action: (delayMs: number) => void;
 }
 
-function startTimer(options: RepeatOptions) {
+/** An action that is repeated on demand. */
+interface RepeatedAction {
+  /** Called when the action may be needed again: the next run is then one interval later, at most. */
+  readonly wake: () => void;
+  /** Milliseconds by which the next run is late, and the event loop with it. */
+  readonly lateMs: () => number;
+}
+
+function startTimer(
+  options: RepeatOptions,
+): RepeatedAction & {stop: () => void} {
   const {intervalMs, idleMs, isNeeded, action} = options;
   let isStopped = false;
   let isIdle = false;
@@ -45,6 +55,7 @@
       isIdle = false;
       schedule();
     },
+    lateMs: () => Math.max(0, monotonicNow() - dueAt),
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
@@ -54,13 +65,11 @@
 
 /**
  * Runs an action like `repeatEvery`, but seldom while it is not needed, as each
- * wake-up costs processor time. Returns a function to call when it may be needed
- * again: the next run is then one interval later, at most.
+ * wake-up costs processor time.
  */
 export function repeatOnDemand(
   options: RepeatOptions,
-): Effect.Effect<() => void, never, Scope.Scope> {
+): Effect.Effect<RepeatedAction, never, Scope.Scope> {
   const start = Effect.sync(() => startTimer(options));
-  const timer = Effect.acquireRelease(start, ({stop}) => Effect.sync(stop));
-  return Effect.map(timer, ({wake}) => wake);
+  return Effect.acquireRelease(start, ({stop}) => Effect.sync(stop));
 }
