--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -5,10 +5,6 @@
   ServingConfig,
 } from '@figfall/decisions';
 import type {Logger} from '@figfall/observability';
-import {err, ok} from 'neverthrow';
-import type {Result} from 'neverthrow';
-import {buildCallSpec} from '../calls/build_call_spec.js';
-import type {CallSpec} from '../calls/call_spec.js';
 import {currentPriority} from '../calls/current_priority.js';
 import {GatewayCall} from '../calls/gateway_call.js';
 import {GATEWAY} from '../constants.js';
@@ -21,6 +17,7 @@
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {LimitChecks} from './limit_checks.js';
 import type {PermitGateways} from './permit_gateways.js';
+import {resolveRequest} from './resolve_request.js';
 import type {RetryBounds} from './retry_bounds.js';
 import {RetryBudgets} from './retry_budgets.js';
 import {ShutdownState} from './shutdown_state.js';
@@ -203,8 +200,10 @@
   }
 
   private begin(req: CallerRequest, sink: ResponseSink): CallHandle {
-    const {fleet, client, now} = this.options;
-    const built = this.buildSpec(req);
+    const {fleet, client, now, random} = this.options;
+    const {config, hasServers, shutdown, startupRefusals} = this;
+    const state = {config, hasServers, shutdown, startupRefusals};
+    const built = resolveRequest(req, {...state, random});
     if (built.isErr()) {
       this.log.onRejected(req.requestId, built.error);
       sink.fail(built.error);
@@ -238,23 +237,6 @@
     };
   }
 
-  /** Resolves a request, or says why it is rejected before it becomes a call. */
-  private buildSpec(req: CallerRequest): Result<CallSpec, Failure> {
-    const refusal = this.shutdown.requestRefusal();
-    if (refusal) return err(refusal);
-    const {config, startupRefusals, hasServers} = this;
-    const limited = this.shutdown.limitTimeout(req);
-    return buildCallSpec(config, limited, this.options.random)
-      .mapErr(failure =>
-        config ? failure : startupRefusals.withReturnTime(failure, req),
-      )
-      .andThen(spec =>
-        hasServers
-          ? ok(spec)
-          : err(startupRefusals.serversUnknown(spec.service.name, req)),
-      );
-  }
-
   /** Records a request that was refused before it was read. */
   recordRejected(requestId: string, failure: Failure): void {
     this.log.onRejected(requestId, failure);
