--- a/packages/caller/src/server/create_caller_server.ts
+++ b/packages/caller/src/server/create_caller_server.ts
@@ -28,7 +28,6 @@
       else sendFailure(res, createFailure('internal-error', error.message));
     });
   });
-  server.on('connection', () => readFirst.noteArrival());
   const stopListening = () => {
     server.close();
     server.closeIdleConnections();
--- a/packages/task/src/read_first_queue.ts
+++ b/packages/task/src/read_first_queue.ts
@@ -1,9 +1,6 @@
 import {monotonicNow} from './monotonic_now.js';
 import {reportDefect} from './report_defect.js';
 
-/** Milliseconds for which reading may go before the actions. */
-const READ_FIRST_MS = 20;
-
 /** Milliseconds for which actions run in one turn of the event loop. */
 const RUN_MS = 20;
 
@@ -26,8 +23,8 @@
 /**
  * Runs actions for callers, in order, once what the callers have sent by then
  * has been read: a close that lies behind a request is seen before work for it
- * begins. New connections, further requests and closes are read first, as that
- * costs little, and a turn of the event loop accepts only one connection.
+ * begins. What takes long is spread over several turns of the event loop, since
+ * each of them accepts only one connection.
  */
 export class ReadFirstQueue {
   private readonly queue = new Set<QueuedAction>();
@@ -35,9 +32,6 @@
   private readonly afterPoll: (action: () => void) => void;
   private turn = 0;
   private isScheduled = false;
-  private hasArrived = false;
-  /** Time since which reading goes before the actions. */
-  private readFirstSince = 0;
   private lastTurnAt = 0;
   private hasPolledTwice = false;
 
@@ -50,16 +44,10 @@
   add(run: () => void): () => void {
     const action: QueuedAction = {run, turn: this.turn};
     this.queue.add(action);
-    this.noteArrival();
     this.schedule();
     return () => void this.queue.delete(action);
   }
 
-  /** Notes that a connection or a request was read in this turn. */
-  noteArrival(): void {
-    this.hasArrived = true;
-  }
-
   /** Runs all actions at once. */
   flush(): void {
     this.queue.forEach(action => this.run(action));
@@ -68,31 +56,23 @@
   private schedule(): void {
     if (this.isScheduled) return;
     this.isScheduled = true;
-    this.readFirstSince = this.now();
-    this.lastTurnAt = this.readFirstSince;
+    this.lastTurnAt = this.now();
     this.afterPoll(() => this.onTurn());
   }
 
   private onTurn(): void {
-    if (!this.readsOn()) {
-      this.runSome();
-      this.readFirstSince = this.now();
-    }
-    this.hasArrived = false;
+    if (!this.needsAnotherPoll()) this.runSome();
     this.turn += 1;
     this.lastTurnAt = this.now();
     this.isScheduled = this.queue.size > 0;
     if (this.isScheduled) this.afterPoll(() => this.onTurn());
   }
 
-  /** True if another poll comes before the actions. */
-  private readsOn(): boolean {
-    const now = this.now();
-    // After a standstill nobody knows whether it came before the poll or after.
-    const stoodStill = now - this.lastTurnAt >= STANDSTILL_MS;
+  /** True after a standstill, which may have come after the poll. */
+  private needsAnotherPoll(): boolean {
+    const stoodStill = this.now() - this.lastTurnAt >= STANDSTILL_MS;
     this.hasPolledTwice = stoodStill && !this.hasPolledTwice;
-    if (this.hasPolledTwice) return true;
-    return this.hasArrived && now - this.readFirstSince < READ_FIRST_MS;
+    return this.hasPolledTwice;
   }
 
   /** Runs actions that were queued in earlier turns, for `RUN_MS` at most. */
