--- a/packages/caller/src/server/find_route.ts
+++ b/packages/caller/src/server/find_route.ts
@@ -1,8 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createFailure} from '@figfall/decisions';
+import type {Failure} from '@figfall/decisions';
 import {whenCallerLeaves} from '@figfall/http-client';
 import type {ReadFirstQueue} from '@figfall/task';
-import type {Failure} from '@figfall/decisions';
 import {err, ok} from 'neverthrow';
 import type {Result} from 'neverthrow';
 import {CALLER_API} from '../constants.js';
--- a/packages/gateway/src/core/gateway_core.ts
+++ b/packages/gateway/src/core/gateway_core.ts
@@ -16,6 +16,7 @@
 import type {Fleet} from './fleet.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import {LimitChecks} from './limit_checks.js';
+import {NO_CALL} from './no_call.js';
 import type {PermitGateways} from './permit_gateways.js';
 import {resolveRequest} from './resolve_request.js';
 import type {RetryBounds} from './retry_bounds.js';
@@ -40,12 +41,6 @@
   readonly afterReads?: (action: () => void) => void;
 }
 
-/** Handle of a request that was rejected. */
-const NO_CALL: CallHandle = {
-  handleDisconnect: () => undefined,
-  handleDrain: () => undefined,
-};
-
 /** Serves the requests of one gateway by its current configuration. */
 export class GatewayCore {
   private readonly calls = new Map<number, GatewayCall>();
--- a/playground/src/soak/soak_fault_injector.ts
+++ b/playground/src/soak/soak_fault_injector.ts
@@ -121,8 +121,8 @@
     durationMs: number,
   ): void {
     const from = this.options.now();
-    const to = from + durationMs;
-    this.gatewayDisruptions.push({gateway: name, cause, from, to});
+    const span = {from, to: from + durationMs};
+    this.gatewayDisruptions.push({gateway: name, cause, ...span});
   }
 
   private pauseGateway(action: SoakAction): void {
@@ -245,8 +245,7 @@
       this.options.sendCrashingPrompts(durationMs),
     'config-change': () => {
       const {currentConfig, updateConfig} = this.options.deployment;
-      const {hasReadRoute} = currentConfig();
-      updateConfig({hasReadRoute: !hasReadRoute});
+      updateConfig({hasReadRoute: !currentConfig().hasReadRoute});
     },
   };
 }
