fix(soak): time that excuses late work counts once where its causes overlap

What was seen: nothing yet; found by reading. Cause: a pause of a gateway, another pause of it and a delay of the harness at the same time were each taken off, so work that was up to as much later went unreported. Change: the time that they cover together is taken off; the check is stricter. Result: the new test fails on the code before and passes now; 24 tests of the checks pass. The soak had not been run again when this was committed.

--- a/playground/src/__tests__/check_left_callers.test.ts
+++ b/playground/src/__tests__/check_left_callers.test.ts
@@ -84,6 +84,18 @@
   expect(reported({arrivals})).toEqual([]);
 });
 
+test('excused time counts once where spans overlap, and only within the work', () => {
+  const pauses = [PAUSE, {...PAUSE, from: 1_000}];
+  const late = {runs: runsUntil(2_301), gatewayDisruptions: pauses};
+  expect(reported(late).length).toEqual(IDS.length);
+  const harnessDelays = [{from: 1_200, to: 1_700}];
+  expect(reported({...late, harnessDelays}).length).toEqual(IDS.length);
+  const later = {gateway: 'g', cause: 'pause', from: 2_400, to: 3_000} as const;
+  const gatewayDisruptions = [later];
+  const runs = runsUntil(1_801);
+  expect(reported({runs, gatewayDisruptions}).length).toEqual(IDS.length);
+});
+
 test('what the harness and stalled links delay does not count', () => {
   const arrivals = arrivalsAt(1_801);
   const harnessDelays = [{from: 1_100, to: 1_700}];
--- a/playground/src/soak/check_left_callers.ts
+++ b/playground/src/soak/check_left_callers.ts
@@ -20,12 +20,18 @@
 /** Requests that may be later: those that cross their callers' ends. */
 const LATE_MAX = 3;
 
-function overlapMs({from, to}: Span, span: Span): number {
-  return Math.max(0, Math.min(to, span.to) - Math.max(from, span.from));
-}
-
-function totalOverlapMs(span: Span, others: readonly Span[]): number {
-  return others.reduce((sum, other) => sum + overlapMs(span, other), 0);
+/** Milliseconds of a span that others cover; where they overlap, once. */
+function coveredMs(span: Span, others: readonly Span[]): number {
+  const sorted = others.toSorted((a, b) => a.from - b.from);
+  const covered = sorted.reduce(
+    ({ms, until}, {from, to}) => {
+      const begin = Math.max(from, until);
+      const end = Math.max(begin, Math.min(to, span.to));
+      return {ms: ms + end - begin, until: Math.max(until, end)};
+    },
+    {ms: 0, until: span.from},
+  );
+  return covered.ms;
 }
 
 /** Callers that have left, by the ids of their requests. */
@@ -49,9 +55,9 @@
   const harms = observations.linkHarms.filter(
     harm => harm.serverId === serverId,
   );
-  if (totalOverlapMs(span, harms) > 0) return 0;
+  if (coveredMs(span, harms) > 0) return 0;
   const excuses = [...observations.harnessDelays, ...excused];
-  return at - leftAt - totalOverlapMs(span, excuses) - LIMIT_MS;
+  return at - leftAt - coveredMs(span, excuses) - LIMIT_MS;
 }
 
 function describe(
--- a/playground/src/soak/soak_fault_injector.ts
+++ b/playground/src/soak/soak_fault_injector.ts
@@ -182,9 +182,8 @@
       recordDown: (gateway, downMs) =>
         this.disruptGateway(gateway, 'kill', downMs),
     }),
-    'gateway-kill': action => {
-      this.killGateway(this.targetGateway(action), RESTART_MS);
-    },
+    'gateway-kill': action =>
+      this.killGateway(this.targetGateway(action), RESTART_MS),
     'gateway-stop': action => {
       this.pendingStops.push(this.stopGateway(this.targetGateway(action)));
     },
