--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -7,7 +7,7 @@
 import {runCase} from '../lib-3/case.mjs';
 import {send} from '../lib-3/client.mjs';
 import {SERVICES, config} from '../lib-3/config.mjs';
-import {startGateway} from '../lib-3/gateway.mjs';
+import {planDeployment, startGateway} from '../lib-3/gateway.mjs';
 import {startReplica} from '../lib-3/replica.mjs';
 import {startStore} from '../lib-3/store.mjs';
 
@@ -55,11 +55,13 @@
   for (const zone of ZONES) replicas.push(await startApp(zone));
   store.put('config', 'main', config());
 
+  const hosts = ZONES.map((_, i) => `127.0.11.${i + 1}`);
+  const plan = await planDeployment(hosts);
   const gateways = [];
   for (const [i, zone] of ZONES.entries()) {
-    const host = `127.0.11.${i + 1}`;
+    const host = hosts[i];
     const name = `front-${zone}-1`;
-    const gateway = await startGateway({name, host, store, zone});
+    const gateway = await startGateway({name, host, store, zone, plan});
     cleanup(gateway.stop);
     gateways.push(gateway);
   }
--- a/review/lib-3/client.mjs
+++ b/review/lib-3/client.mjs
@@ -43,6 +43,7 @@
     req.on('response', res => {
       outcome.status = res.statusCode;
       outcome.headers = res.headers;
+      outcome.headAt = Date.now();
       res.setEncoding('utf8');
       res.on('data', chunk => {
         outcome.body += chunk;
--- a/review/lib-3/gateway.mjs
+++ b/review/lib-3/gateway.mjs
@@ -12,6 +12,9 @@
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 const READY_WITHIN_MS = 20_000;
 
+/** First port that is tried; the kernel gives out higher ones by itself. */
+const FIRST_PORT = 7_341;
+
 /** Bounds of `sites/lindenau-biogas.toml`, as its sheet gives them. */
 const BOUNDS = {
   seedLagS: 3,
@@ -34,16 +37,30 @@
   recoveryS: 12,
 };
 
-async function freePort(host) {
-  const server = createServer();
-  await new Promise(resolve => {
-    server.listen(0, host, resolve);
-  });
-  const {port} = server.address();
-  await new Promise(resolve => {
-    server.close(resolve);
-  });
-  return port;
+/** Resolves to true if the port is free on all hosts. */
+async function isFree(hosts, port) {
+  const servers = hosts.map(() => createServer());
+  const listening = servers.map(
+    (server, i) =>
+      new Promise((resolve, reject) => {
+        server.once('error', reject);
+        server.listen(port, hosts[i], resolve);
+      }),
+  );
+  const results = await Promise.allSettled(listening);
+  servers.forEach(server => server.close());
+  return results.every(({status}) => status === 'fulfilled');
+}
+
+/** Chooses ports that all gateways of a deployment use, as on the platform. */
+export async function planDeployment(hosts) {
+  const ports = [];
+  for (let port = FIRST_PORT; ports.length < 4; port += 1) {
+    if (await isFree(hosts, port)) ports.push(port);
+  }
+  const [front, ready, control, link] = ports;
+  const seeds = hosts.slice(0, 3).map(host => `${host}:${control}`);
+  return {front, ready, control, link, seeds};
 }
 
 /** Program and arguments that the deploy file names. */
@@ -63,11 +80,9 @@
 }
 
 /** Starts a gateway and waits until it reports ready. */
-export async function startGateway({name, host, store, zone = 'nord'}) {
+export async function startGateway({name, host, store, zone = 'nord', plan}) {
   const folder = mkdtempSync(join(tmpdir(), 'figfall-review-'));
-  const ports = [];
-  for (let i = 0; i < 4; i += 1) ports.push(await freePort(host));
-  const [front, ready, control, link] = ports;
+  const {front, ready, control, link, seeds} = plan;
   const path = join(folder, 'settings.json');
   writeFileSync(
     path,
@@ -85,8 +100,8 @@
         ready: `${host}:${ready}`,
         control: `${host}:${control}`,
       },
-      internalPortRange: [link, link],
-      seedNodes: [`${host}:${control}`],
+      internalPortRange: [link, link + 15],
+      seedNodes: seeds,
       bootstrap: true,
       limits: {
         cpuShare: 0.513,
