--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -36,6 +36,16 @@
     process.stdout.write(`${lines.slice(-12).join('\n')}\n`);
     process.exit(EXIT_CODES[result]);
   };
+  process.on('uncaughtException', error => {
+    record(`could not run: ${error.stack}`);
+    finish('failed').catch(() => process.exit(EXIT_CODES.failed));
+  });
+  ['SIGINT', 'SIGTERM'].forEach(signal =>
+    process.on(signal, () => {
+      record(`ended by ${signal}`);
+      finish('failed').catch(() => process.exit(EXIT_CODES.failed));
+    }),
+  );
   try {
     const cleanup = action => cleanups.push(action);
     const breaches = await play({record, cleanup, hasTrouble});
--- a/review/lib-3/replica.mjs
+++ b/review/lib-3/replica.mjs
@@ -8,7 +8,13 @@
  * Starts a replica. `run` answers a request that has begun to run. Requests for
  * another instance get 421, as the pages say; `admit` may turn one away first.
  */
-export async function startReplica({id, host = '127.0.0.1', run, admit}) {
+export async function startReplica({
+  id,
+  host = '127.0.0.1',
+  port: wantedPort = 0,
+  run,
+  admit,
+}) {
   const runs = [];
   const arrivals = [];
   const server = createServer((req, res) => {
@@ -43,8 +49,9 @@
   });
   server.keepAliveTimeout = 30_000;
   const born = Date.now();
-  await new Promise(resolve => {
-    server.listen(0, host, resolve);
+  await new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(wantedPort, host, resolve);
   });
   const {port} = server.address();
   return {
