--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -5,7 +5,7 @@
 import {setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {runCase} from '../lib-3/case.mjs';
-import {send} from '../lib-3/client.mjs';
+import {newRequestId, send} from '../lib-3/client.mjs';
 import {SERVICES, config} from '../lib-3/config.mjs';
 import {planDeployment, startGateway} from '../lib-3/gateway.mjs';
 import {startReplica} from '../lib-3/replica.mjs';
@@ -68,7 +68,13 @@
 
   const answers = [];
   const attempt = async (booking, gateway) => {
-    const answer = await send(gateway, {path: '/puxa403/2f', body: booking});
+    const id = newRequestId();
+    record(`client: sends ${booking}, attempt ${id}, to ${gateway.host}`);
+    const answer = await send(gateway, {
+      id,
+      path: '/puxa403/2f',
+      body: booking,
+    });
     answers.push({...answer, body: booking});
     const end = answer.complete ? `status ${answer.status}` : answer.error;
     record(`client: ${booking}, attempt ${answer.id}: ${end}`);
--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -1,5 +1,5 @@
 /** Runs one case: writes its record, ends what it started, sets the exit code. */
-import {writeFileSync} from 'node:fs';
+import {closeSync, openSync, writeSync} from 'node:fs';
 import process from 'node:process';
 import {clearTimeout, setTimeout} from 'node:timers';
 import {URL, fileURLToPath} from 'node:url';
@@ -11,18 +11,23 @@
 const LIMIT_MS = 115_000;
 
 /**
- * Plays a case. `play` gets `record`, which notes a line, `cleanup`, which takes
+ * Plays a case and writes its record, line by line, to the file that the first
+ * argument names. `play` gets `record`, which notes a line, `cleanup`, which takes
  * functions to call at the end, and whether the disruption is on. It returns the
  * breaches of the rule, as lines.
  */
 export async function runCase(url, play) {
   const startedAt = Date.now();
   const lines = [];
+  const path = process.argv[2] ?? fileURLToPath(new URL('record.txt', url));
+  const file = openSync(path, 'w');
   const cleanups = [];
   const hasTrouble = process.env.TROUBLE !== '0';
   const record = text => {
     const at = ((Date.now() - startedAt) / 1_000).toFixed(3);
-    lines.push(`${at.padStart(8)} s  ${text}`);
+    const line = `${at.padStart(8)} s  ${text}`;
+    lines.push(line);
+    writeSync(file, `${line}\n`);
   };
   const timer = setTimeout(() => {
     record('the case took too long');
@@ -32,8 +37,7 @@
     clearTimeout(timer);
     for (const cleanup of cleanups.reverse()) await cleanup();
     record(`result: ${result}, disruption ${hasTrouble ? 'on' : 'off'}`);
-    const path = fileURLToPath(new URL('record.txt', url));
-    writeFileSync(path, `${lines.join('\n')}\n`);
+    closeSync(file);
     process.stdout.write(`${lines.slice(-12).join('\n')}\n`);
     process.exit(EXIT_CODES[result]);
   };
--- a/review/lib-3/crashing_part.mjs
+++ b/review/lib-3/crashing_part.mjs
@@ -60,8 +60,10 @@
       const isBad = req.headers['x-prompt-prefix'].includes(BAD_PART);
       if (isBad) {
         badArrivals.push({id: requestId, at: Date.now(), server: id});
-        record(`${id} runs ${requestId}, with the crashing part`);
       }
+      record(
+        `${id} runs ${requestId}${isBad ? ', with the crashing part' : ''}`,
+      );
       setTimeout(() => {
         if (res.destroyed) return;
         if (isBad && hasTrouble) return crash();
@@ -124,6 +126,7 @@
   const cutAt = [];
   const ask = async (i, lastShared) => {
     const id = newRequestId();
+    record(`client: sends ${id} to gateway ${i % gateways.length}`);
     const answer = await send(gateways[i % gateways.length], {
       id,
       path: '/lohu930/2f',
@@ -141,7 +144,7 @@
       cutAt.push(answer.sentAt + answer.tookMs);
     const key = `${kind}: ${end}`;
     counts.set(key, (counts.get(key) ?? 0) + 1);
-    if (kind === 'crashing') record(`client: ${id}: ${end}`);
+    record(`client: ${id}, ${kind}: ${end}`);
   };
   const asked = [];
   const startedAt = Date.now();
