fix(decisions, gateway): a request whose hedge may have run is not reported as not run

A read got 429 or 503, which promise that it has not run, though a hedge had been sent and may have run. (Only what may run twice is hedged, so no rule is broken; the promise is false all the same.)

Cause: `CallState.ran` knew of the current attempt and of those before it. A hedge that ended only lowered `maxAttempts`; when the attempt beside it was refused, `ran` went back to `ranBeforeAttempt`, which was `no`.

The fix: a lost hedge that was sent is an event of the call's state machine, which sets both to `unknown`. Test: `a read whose hedge may have run is not reported as not run` failed before ("no" in place of "unknown") and passes now.

--- a/packages/decisions/src/calls/call_event.ts
+++ b/packages/decisions/src/calls/call_event.ts
@@ -37,6 +37,10 @@
       readonly crashed: boolean;
     }
   | {readonly type: 'alive'; readonly attemptId: string}
+  | {
+      /** An attempt beside the current one has ended, and may have run. */
+      readonly type: 'hedge-lost';
+    }
   | {
       /** The node ends the request, since its process has to end. */
       readonly type: 'aborted';
--- a/packages/decisions/src/calls/call_machine.ts
+++ b/packages/decisions/src/calls/call_machine.ts
@@ -70,6 +70,15 @@
   return callRecovery.end(state, failure);
 }
 
+/** Whatever becomes of the current attempt, the request may have run by now. */
+function onHedgeLost(state: CallState): CallStep {
+  return noCommands({
+    ...state,
+    ran: mayHaveRun(state.ran),
+    ranBeforeAttempt: mayHaveRun(state.ranBeforeAttempt),
+  });
+}
+
 function onAccepted(state: CallState, now: number): CallStep {
   if (state.phase !== 'opening') {
     return noCommands({...state, lastReceivedAt: now});
@@ -182,6 +191,7 @@
     state.phase === 'opening'
       ? onAccepted(state, now)
       : noCommands({...state, lastReceivedAt: now}),
+  'hedge-lost': state => onHedgeLost(state),
   unseen: callLinks.onUnseen,
   'link-down': (state, event, _options, now) =>
     callLinks.onLinkDown(state, event, now),
--- a/packages/gateway/src/__tests__/false_promises.test.ts
+++ b/packages/gateway/src/__tests__/false_promises.test.ts
@@ -87,3 +87,21 @@
     );
   });
 });
+
+// Guards against a hedge that ran and is forgotten once its attempt is refused.
+test('a read whose hedge may have run is not reported as not run', () => {
+  const {attempts, serve, core, clock} = gatewayFixture(['a', 'b', 'c', 'd'], {
+    maxAttempts: 4,
+  });
+  const {received} = serve('/read/x');
+  attempts[0]?.emit(sent);
+  clock.now += 5_000;
+  core.tick();
+  attempts[1]?.emit(sent);
+  attempts[1]?.emit(failed);
+  attempts[0]?.emit(refused);
+  attempts.slice(2).forEach(attempt => attempt.emit(refused));
+  clock.now += DEADLINE_MS;
+  core.tick();
+  expect(received.failure?.ran).toEqual('unknown');
+});
--- a/packages/gateway/src/calls/gateway_call.ts
+++ b/packages/gateway/src/calls/gateway_call.ts
@@ -199,6 +199,7 @@
   private countLostHedge(): void {
     const {options} = this;
     this.options = {...options, maxAttempts: options.maxAttempts - 1};
+    this.step({type: 'hedge-lost'});
   }
 
   private endAttempt(): void {
