fix(model-engine): an engine that answers 5xx may have run the request

A request that a model engine answered 500 or 503 was reported to its caller as `ran: "no"`.

Cause: the client took each status but 200 for a rejection before the run. Published OpenAI-style engines reject with 4xx; 5xx is a failure of their own, at any time.

--- a/packages/model-engine/src/create_model_engine_client.ts
+++ b/packages/model-engine/src/create_model_engine_client.ts
@@ -23,6 +23,9 @@
 
 const STREAM_END_DATA = '[DONE]';
 
+/** Lowest status of an error of the engine's own. */
+const SERVER_ERROR_STATUS = 500;
+
 const GENERATE_PATHS = {
   completion: '/v1/completions',
   chat: '/v1/chat/completions',
@@ -43,11 +46,16 @@
   return {...event, failure: {...event.failure, ran: 'no'}};
 }
 
-function rejected(message: string): EngineEvent {
+/** An engine that reports an error of its own may have run the request. */
+function ranBefore(status: number): Failure['ran'] {
+  return status >= SERVER_ERROR_STATUS ? 'unknown' : 'no';
+}
+
+function rejected(status: number): EngineEvent {
   const failure = createFailure(
     'backend-error',
-    `The model engine rejected the request: ${message}`,
-    {ran: 'no'},
+    `The model engine rejected the request: status ${status}`,
+    {ran: ranBefore(status)},
   );
   return {type: 'failed', failure, connectionLost: false};
 }
@@ -113,7 +121,7 @@
     const res = opened.value;
     if (res.statusCode !== 200) {
       res.resume();
-      return yield rejected(`status ${res.statusCode}`);
+      return yield rejected(res.statusCode ?? 0);
     }
     try {
       yield* readStream(res);
@@ -138,7 +146,8 @@
     const {status, body} = response.value;
     if (status >= 300) {
       const message = `The model engine responded with status ${status}: ${body.toString()}`;
-      return err(createFailure('backend-error', message, {ran: 'no'}));
+      const ran = ranBefore(status);
+      return err(createFailure('backend-error', message, {ran}));
     }
     return ok(JSON.parse(body.toString() || '{}') as Value);
   };
