--- a/playground/src/__tests__/plan_soak_actions.test.ts
+++ b/playground/src/__tests__/plan_soak_actions.test.ts
@@ -26,19 +26,24 @@
   'unread-responses',
 ];
 
-/** Types of the callers that leave, which were added last. */
+/** Types of the responses that promise what a server does not say. */
+const RESPONSE_TYPES: readonly SoakAction['type'][] = [
+  'server-unstated-refusals',
+];
+
+/** Types of the callers that leave. */
 const LEAVING_TYPES: readonly SoakAction['type'][] = [
   'leaving-crowd',
   'leaving-crowd-in-pause',
 ];
 
-test('50 seeds together draw all 34 types of actions', () => {
+test('50 seeds together draw all 35 types of actions', () => {
   const types = new Set(
     Array.from({length: 50}, (_, seed) => planSoakActions({...OPTIONS, seed}))
       .flat()
       .map(({type}) => type),
   );
-  expect(types.size).toEqual(34);
+  expect(types.size).toEqual(35);
   expect(PROCESS_TYPES.every(type => types.has(type))).toEqual(true);
   expect(LEAVING_TYPES.every(type => types.has(type))).toEqual(true);
 });
@@ -56,6 +61,7 @@
         type !== 'server-silence' &&
         type !== 'server-limit' &&
         !PROCESS_TYPES.includes(type) &&
+        !RESPONSE_TYPES.includes(type) &&
         !LEAVING_TYPES.includes(type),
     );
     const text = JSON.stringify(former);
--- a/playground/src/soak/create_server_handlers.ts
+++ b/playground/src/soak/create_server_handlers.ts
@@ -1,3 +1,4 @@
+import type {BackendFault} from '@figfall/gateway-server/testing';
 import type {ActionHandlers} from './action_handlers.js';
 import type {SoakAction} from './soak_action.js';
 import type {SoakObservations} from './soak_observations.js';
@@ -46,12 +47,15 @@
     schedule(downMs, () => void server.start());
   };
 
+  const setFault = (action: SoakAction, fault: BackendFault): void => {
+    const {backend} = targetServer(action);
+    backend.setFault(fault);
+    schedule(action.durationMs, () => backend.setFault('none'));
+  };
+
   return {
-    'server-fault': action => {
-      const {backend} = targetServer(action);
-      backend.setFault(action.fault);
-      schedule(action.durationMs, () => backend.setFault('none'));
-    },
+    'server-fault': action => setFault(action, action.fault),
+    'server-unstated-refusals': action => setFault(action, 'unstated-refusals'),
     'server-crash': action => {
       void crash(targetServer(action), action.durationMs);
     },
--- a/playground/src/soak/plan_soak_actions.ts
+++ b/playground/src/soak/plan_soak_actions.ts
@@ -87,6 +87,11 @@
   {type: 'unread-responses'},
 ];
 
+/** Responses that promise what the server does not say, drawn likewise. */
+const RESPONSE_ACTION_KINDS: readonly ActionKind[] = [
+  {type: 'server-unstated-refusals'},
+];
+
 /** Callers that leave, drawn by themselves likewise. */
 const LEAVING_ACTION_KINDS: readonly ActionKind[] = [
   {type: 'leaving-crowd'},
@@ -101,12 +106,14 @@
 const LIMIT_SEED_OFFSET = 4_000_003;
 const PROCESS_SEED_OFFSET = 5_000_003;
 const LEAVING_SEED_OFFSET = 6_000_003;
+const RESPONSE_SEED_OFFSET = 7_000_003;
 
 const MEAN_INTERVAL_MS = 450;
 const LATER_MEAN_INTERVAL_MS = 1_200;
 const PROMPT_MEAN_INTERVAL_MS = 8_000;
 const PROCESS_MEAN_INTERVAL_MS = 1_000;
 const LEAVING_MEAN_INTERVAL_MS = 2_000;
+const RESPONSE_MEAN_INTERVAL_MS = 2_000;
 const MIN_DURATION_MS = 300;
 const MAX_DURATION_MS = 3_000;
 
@@ -178,6 +185,12 @@
     kinds: LEAVING_ACTION_KINDS,
     meanIntervalMs: LEAVING_MEAN_INTERVAL_MS,
   });
+  const responseFaults = drawActions({
+    ...options,
+    seed: options.seed + RESPONSE_SEED_OFFSET,
+    kinds: RESPONSE_ACTION_KINDS,
+    meanIntervalMs: RESPONSE_MEAN_INTERVAL_MS,
+  });
   return [
     ...first,
     ...later,
@@ -185,6 +198,7 @@
     ...silences,
     ...limits,
     ...leaving,
+    ...responseFaults,
     ...(options.hasProcessFaults === false ? [] : processFaults),
   ].toSorted((a, b) => a.startMs - b.startMs);
 }
--- a/playground/src/soak/soak_action.ts
+++ b/playground/src/soak/soak_action.ts
@@ -30,6 +30,7 @@
         | 'server-hang-connections'
         | 'server-disconnect'
         | 'server-drop-responses'
+        | 'server-unstated-refusals'
         | 'zone-evacuate'
         | 'config-change'
         | 'prompt-crash'
