--- a/packages/decisions/src/calls/suspect_table.ts
+++ b/packages/decisions/src/calls/suspect_table.ts
@@ -1,5 +1,4 @@
-import {keepNewest} from '../shared/keep_newest.js';
-import {mapWith} from '../shared/map_with.js';
+import {withNewest} from '../shared/with_newest.js';
 
 /** A request that was running when an engine crashed. */
 interface Suspect {
@@ -38,12 +37,12 @@
     now: number,
   ): SuspectTable {
     const known = table.get(fingerprint)?.crashes ?? 0;
-    const next = mapWith(table, fingerprint, {
+    const suspect = {
       fingerprint,
       crashes: Math.max(known, crashes),
       expiresAt: now + SUSPECT_TTL_MS,
-    });
-    return keepNewest(next, SUSPECTS_MAX);
+    };
+    return withNewest(table, fingerprint, suspect, SUSPECTS_MAX);
   },
 
   /** Returns the crashes of a request; 0 if it is unknown or has expired. */
--- a/packages/decisions/src/serving/crash_evidence.ts
+++ b/packages/decisions/src/serving/crash_evidence.ts
@@ -1,74 +1,29 @@
-import {keepNewest} from '../shared/keep_newest.js';
 import {mapWith} from '../shared/map_with.js';
+import {withNewest} from '../shared/with_newest.js';
+import {addCrashLoss} from './add_crash_loss.js';
 import type {CrashEvidenceLimits} from './crash_evidence_limits.js';
 import type {CrashEvidenceState} from './crash_evidence_state.js';
+import type {CrashLoss} from './crash_loss.js';
 import type {CrashSuspect} from './crash_suspect.js';
+import {forgetUnlikelySuspects} from './forget_unlikely_suspects.js';
 import {isSettled} from './is_settled.js';
 import {isConclusiveTrial} from './is_conclusive_trial.js';
+import {UNKNOWN_SUSPECT} from './unknown_suspect.js';
 import {judgeCrashSuspects} from './judge_crash_suspects.js';
 import {standsOut} from './stands_out.js';
 
-interface Loss {
-  /** Identifies the crash, as requests of several gateways see it. */
-  readonly crashId: string;
-  /** Keys of a request that the server ran. */
-  readonly keys: readonly string[];
-  /** Milliseconds from sending the request to the loss. */
-  readonly heldMs: number;
-  /** True if the server had begun to answer. @default false */
-  readonly hadEvents?: boolean;
-}
-
-/** Milliseconds between losses that may have the same cause. */
-const ROUND_MS = 500;
-
 /** Trials after which the time between trials no longer doubles. */
 const DOUBLED_TRIALS_MAX = 4;
 
 /** Milliseconds after which a blocked key without any requests is forgotten. */
 const BLOCKED_TTL_MS = 3_600_000;
 
-/** Largest number of keys kept; the oldest are dropped first. */
-const KEYS_MAX = 1_024;
-
 /** Largest number of crashes kept; the oldest are dropped first. */
 const CRASHES_MAX = 256;
 
 /** Milliseconds for which a crash is kept. */
 const CRASH_TTL_MS = 600_000;
 
-/** Largest number of losses kept for a key. */
-const LOSSES_MAX = 16;
-
-const UNKNOWN: CrashSuspect = {
-  losses: [],
-  hasBegun: false,
-  updatedAt: -Infinity,
-  isBlocked: false,
-  trials: 0,
-};
-
-function addLoss(
-  suspect: CrashSuspect,
-  {crashId, heldMs, hadEvents = false}: Loss,
-  now: number,
-): CrashSuspect {
-  const {losses, updatedAt} = suspect;
-  const hasBegun = suspect.hasBegun || hadEvents;
-  if (losses.some(loss => loss.crashId === crashId)) {
-    return {...suspect, hasBegun};
-  }
-  const wasSentLater = now - heldMs >= updatedAt;
-  const startsRound = wasSentLater || now - updatedAt >= ROUND_MS;
-  const loss = {crashId, at: now, startsRound};
-  return {
-    ...suspect,
-    hasBegun,
-    losses: [...losses, loss].slice(-LOSSES_MAX),
-    updatedAt: startsRound ? now : updatedAt,
-  };
-}
-
 /** Milliseconds from the last loss or trial of a blocked key to the next trial. */
 function trialMs(
   {blockMs}: CrashEvidenceLimits,
@@ -94,25 +49,36 @@
  */
 export const crashEvidence = {
   empty(limits: CrashEvidenceLimits): CrashEvidenceState {
-    return {limits, suspects: new Map(), crashedAt: new Map()};
+    return {
+      limits,
+      suspects: new Map(),
+      crashedAt: new Map(),
+      lastLossAt: -Infinity,
+      forgotten: 0,
+    };
   },
 
   /** Records the loss of a server that ran a request with these keys. */
   recordLoss(
     state: CrashEvidenceState,
-    loss: Loss,
+    loss: CrashLoss,
     now: number,
   ): CrashEvidenceState {
     const {crashId, keys} = loss;
     const crashedAt = state.crashedAt.has(crashId)
       ? state.crashedAt
-      : keepNewest(mapWith(state.crashedAt, crashId, now), CRASHES_MAX);
-    const suspects = keys.reduce<CrashEvidenceState['suspects']>(
-      (known, key) =>
-        mapWith(known, key, addLoss(known.get(key) ?? UNKNOWN, loss, now)),
-      state.suspects,
-    );
-    return {...state, crashedAt, suspects: keepNewest(suspects, KEYS_MAX)};
+      : withNewest(state.crashedAt, crashId, now, CRASHES_MAX);
+    const suspects = new Map(state.suspects);
+    /** Keys that were always lost together share one suspect. */
+    const nextOf = new Map<CrashSuspect, CrashSuspect>();
+    keys.forEach(key => {
+      const known = suspects.get(key) ?? UNKNOWN_SUSPECT;
+      const next = nextOf.get(known) ?? addCrashLoss(known, loss, now);
+      nextOf.set(known, next);
+      suspects.set(key, next);
+    });
+    const lastLossAt = Math.max(state.lastLossAt, now);
+    return forgetUnlikelySuspects({...state, crashedAt, suspects, lastLossAt});
   },
 
   /** Clears keys, because a server has answered a request with them in full. */
@@ -120,20 +86,35 @@
     state: CrashEvidenceState,
     keys: readonly string[],
   ): CrashEvidenceState {
-    const {suspects} = state;
-    if (!keys.some(key => suspects.has(key))) return state;
-    const left = [...suspects].filter(([key]) => !keys.includes(key));
-    return {...state, suspects: new Map(left)};
+    if (!keys.some(key => state.suspects.has(key))) return state;
+    const suspects = new Map(state.suspects);
+    keys.forEach(key => suspects.delete(key));
+    return {...state, suspects};
   },
 
   /** Blocks the keys that are to blame by now. */
   judge: judgeCrashSuspects,
 
+  /** True if a judgement stands until the next loss, trial or answer. */
+  isSettled({lastLossAt}: CrashEvidenceState, now: number): boolean {
+    return isSettled(lastLossAt, now);
+  },
+
   /** True if a key will be blocked, unless other gateways lost more with it. */
-  isPending(state: CrashEvidenceState, key: string, now: number): boolean {
-    const suspect = state.suspects.get(key);
-    if (!suspect || suspect.isBlocked || isSettled(suspect, now)) return false;
-    return standsOut(state, key, suspect);
+  isAnyPending(
+    state: CrashEvidenceState,
+    keys: readonly string[],
+    now: number,
+  ): boolean {
+    const suspects = new Set(
+      keys.flatMap(key => state.suspects.get(key) ?? []),
+    );
+    return [...suspects].some(
+      suspect =>
+        !suspect.isBlocked &&
+        !isSettled(suspect.losses.at(-1)?.at, now) &&
+        standsOut(state, suspect),
+    );
   },
 
   isBlocked({suspects}: CrashEvidenceState, key: string): boolean {
@@ -186,12 +167,12 @@
     {trials, ageMs}: {readonly trials: number; readonly ageMs: number},
     now: number,
   ): CrashEvidenceState {
-    const known = state.suspects.get(key) ?? UNKNOWN;
+    const known = state.suspects.get(key) ?? UNKNOWN_SUSPECT;
     if (known.isBlocked) return state;
     const updatedAt = now - ageMs;
     const suspect = {...known, trials, updatedAt, isBlocked: true};
     const suspects = mapWith(state.suspects, key, suspect);
-    return {...state, suspects: keepNewest(suspects, KEYS_MAX)};
+    return forgetUnlikelySuspects({...state, suspects});
   },
 
   /** Removes keys without a recent loss or trial, and old losses. */
--- a/packages/decisions/src/serving/crash_evidence_state.ts
+++ b/packages/decisions/src/serving/crash_evidence_state.ts
@@ -7,4 +7,8 @@
   readonly suspects: ReadonlyMap<string, CrashSuspect>;
   /** Time in milliseconds of each crash, by its id. */
   readonly crashedAt: ReadonlyMap<string, number>;
+  /** Time in milliseconds of the last loss. */
+  readonly lastLossAt: number;
+  /** Number of keys that were dropped since there were too many. */
+  readonly forgotten: number;
 }
--- a/packages/decisions/src/serving/is_settled.ts
+++ b/packages/decisions/src/serving/is_settled.ts
@@ -1,12 +1,10 @@
-import type {CrashSuspect} from './crash_suspect.js';
-
 /**
  * Milliseconds after a loss within which all gateways that had requests at the
  * server have said so. Sooner, whoever is reported first would stand out.
  */
 const SETTLE_MS = 50;
 
-/** True if what other gateways lost with a suspect is known here. */
-export function isSettled({losses}: CrashSuspect, now: number): boolean {
-  return now - (losses.at(-1)?.at ?? -Infinity) >= SETTLE_MS;
+/** True if what other gateways lost by the time of a loss is known here. */
+export function isSettled(lossAt: number | undefined, now: number): boolean {
+  return now - (lossAt ?? -Infinity) >= SETTLE_MS;
 }
--- a/packages/decisions/src/serving/lost_servers.ts
+++ b/packages/decisions/src/serving/lost_servers.ts
@@ -1,5 +1,5 @@
-import {keepNewest} from '../shared/keep_newest.js';
 import {mapWith} from '../shared/map_with.js';
+import {withNewest} from '../shared/with_newest.js';
 
 /** The last known loss of a server. */
 interface LostServer {
@@ -81,7 +81,7 @@
     const count = (known?.count ?? 0) + 1;
     const next = {count, at: now, processStartedAt, isBack: false};
     return {
-      lost: keepNewest(mapWith(lost, serverId, next), SERVERS_MAX),
+      lost: withNewest(lost, serverId, next, SERVERS_MAX),
       crashId: `${serverId}#${count}`,
     };
   },
--- a/packages/decisions/src/serving/stands_out.ts
+++ b/packages/decisions/src/serving/stands_out.ts
@@ -1,5 +1,6 @@
 import type {CrashEvidenceState} from './crash_evidence_state.js';
 import type {CrashSuspect} from './crash_suspect.js';
+import {recurringSuspects} from './recurring_suspects.js';
 
 /** Rounds of losses after which a key that stands out is blocked. */
 const BLOCK_AFTER_ROUNDS = 3;
@@ -17,15 +18,15 @@
   return new Set(losses.map(({crashId}) => crashId));
 }
 
-/** The other keys that were there at all losses of this one. */
+/** What other keys have that were there at all losses of this one. */
 function othersThatFit(
   suspects: Suspects,
-  key: string,
   suspect: CrashSuspect,
 ): readonly CrashSuspect[] {
   const crashes = [...crashesOf(suspect)];
-  return [...suspects].flatMap(([other, known]) => {
-    if (other === key || known.losses.length < crashes.length) return [];
+  return [...recurringSuspects(suspects)].flatMap(([known, keys]) => {
+    if (known === suspect) return keys > 1 ? [known] : [];
+    if (known.losses.length < crashes.length) return [];
     const others = crashesOf(known);
     return crashes.every(crashId => others.has(crashId)) ? [known] : [];
   });
@@ -51,7 +52,8 @@
   suspect: CrashSuspect,
 ): boolean {
   const since = roundsOf(suspect).at(-BLOCK_AFTER_ROUNDS)?.at ?? -Infinity;
-  const blocked = [...suspects.values()].filter(({isBlocked}) => isBlocked);
+  const recurring = [...recurringSuspects(suspects).keys()];
+  const blocked = recurring.filter(({isBlocked}) => isBlocked);
   const accounted = new Set(
     [suspect, ...blocked].flatMap(known => [...crashesOf(known)]),
   );
@@ -61,18 +63,17 @@
 }
 
 /**
- * True if a key is to blame for the losses of servers. A server that crashes
- * takes all of its requests with it, and several may meet again at the next one,
- * so no other key must fit as well, and no server be lost without this one.
+ * True if what a key has makes it to blame for the losses of servers. A server that
+ * crashes takes all of its requests with it, and several may meet again at the
+ * next one, so no other key must fit as well, and no server be lost without this one.
  */
 export function standsOut(
   state: CrashEvidenceState,
-  key: string,
   suspect: CrashSuspect,
 ): boolean {
   const rounds = roundsOf(suspect).length;
   if (rounds < BLOCK_AFTER_ROUNDS) return false;
-  const others = othersThatFit(state.suspects, key, suspect);
+  const others = othersThatFit(state.suspects, suspect);
   if (rounds >= BLOCK_ALL_AFTER_ROUNDS) {
     return !others.some(other => isLikelier(other, suspect));
   }
--- a/packages/decisions/src/serving/trial_claims.ts
+++ b/packages/decisions/src/serving/trial_claims.ts
@@ -1,5 +1,4 @@
-import {keepNewest} from '../shared/keep_newest.js';
-import {mapWith} from '../shared/map_with.js';
+import {withNewest} from '../shared/with_newest.js';
 
 /** The claim of a gateway to make the next trial of a key. */
 interface TrialClaim {
@@ -49,7 +48,7 @@
     const known = find(claims, key, now);
     if (known && known.gatewayId <= gatewayId) return claims;
     const claim = {gatewayId, at: known?.at ?? now};
-    return keepNewest(mapWith(claims, key, claim), CLAIMS_MAX);
+    return withNewest(claims, key, claim, CLAIMS_MAX);
   },
 
   /** True if the gateway may make its trial now. */
--- a/packages/gateway/src/core/add_fleet_gauges.ts
+++ b/packages/gateway/src/core/add_fleet_gauges.ts
@@ -110,6 +110,17 @@
       this.set(fleet.counts().blocked.requests);
     },
   });
+  new Gauge({
+    name: 'figfall_forgotten_suspects',
+    help: 'Parts and requests that ran as servers were lost, forgotten since there were too many; what crashes servers may be among them.',
+    labelNames: ['kind'],
+    registers,
+    collect() {
+      const {parts, requests} = fleet.counts().forgottenSuspects;
+      this.set({kind: 'part'}, parts);
+      this.set({kind: 'request'}, requests);
+    },
+  });
   new Gauge({
     name: 'figfall_memory_bytes',
     help: 'Resident memory of the process.',
--- a/packages/gateway/src/core/fleet.ts
+++ b/packages/gateway/src/core/fleet.ts
@@ -189,6 +189,7 @@
       waiting: load.waiting.size,
       working: fleetLoad.busyServers(load),
       blocked: this.suspects.blockedCounts(),
+      forgottenSuspects: this.suspects.forgottenCounts(),
     };
   }
 
--- a/packages/gateway/src/core/suspect_list.ts
+++ b/packages/gateway/src/core/suspect_list.ts
@@ -30,10 +30,10 @@
 }
 
 /** Keys that are remembered as answered. */
-const ANSWERED_MAX = 4_096;
+const ANSWERED_MAX = 16_384;
 
 /** Objections that are kept for gateways which are linked later. */
-const OBJECTIONS_MAX = 1_024;
+const OBJECTIONS_MAX = 4_096;
 
 /** The keys of one kind that may crash servers, as all gateways know them. */
 export class SuspectList {
@@ -44,6 +44,8 @@
   private objections: readonly string[] = [];
   /** Blocked keys, as last reported to `onBlocked`. */
   private reported: readonly string[] = [];
+  /** The evidence that was judged last, if nothing but a new loss changes that. */
+  private judged?: ReturnType<typeof crashEvidence.empty>;
 
   constructor(private readonly options: SuspectListOptions) {
     const {limits, now, answeredTtlMs: ttlMs} = options;
@@ -59,14 +61,13 @@
   findRefused(keys: readonly string[]) {
     if (this.isEmpty()) return undefined;
     this.judge();
-    const {evidence} = this;
     const now = this.options.now();
-    return keys
-      .map(key => ({
-        key,
-        forMs: crashEvidence.refusedForMs(evidence, key, now, keys),
-      }))
-      .find(({forMs}) => forMs > 0);
+    const refusedForMs = (key: string) =>
+      crashEvidence.refusedForMs(this.evidence, key, now, keys);
+    const refused = keys.find(key => refusedForMs(key) > 0);
+    return refused === undefined
+      ? undefined
+      : {key: refused, forMs: refusedForMs(refused)};
   }
 
   /**
@@ -75,11 +76,10 @@
    */
   mayRun(keys: readonly string[]): boolean {
     const {evidence, options} = this;
-    const now = options.now();
-    return keys.every(key =>
-      crashEvidence.isBlocked(evidence, key)
-        ? this.mayTry(key)
-        : !crashEvidence.isPending(evidence, key, now),
+    const blocked = keys.filter(key => crashEvidence.isBlocked(evidence, key));
+    return (
+      blocked.every(key => this.mayTry(key)) &&
+      !crashEvidence.isAnyPending(evidence, keys, options.now())
     );
   }
 
@@ -151,6 +151,11 @@
     return this.reported.length;
   }
 
+  /** Number of keys that were forgotten since there were too many. */
+  forgottenCount(): number {
+    return this.evidence.forgotten;
+  }
+
   removeExpired(): void {
     this.objections = this.withAnswered(this.objections);
     const now = this.options.now();
@@ -165,7 +170,10 @@
   /** Blocks what is to blame by now, and tells the others of it. */
   private judge(): void {
     const {kind, now, applyAndAnnounce} = this.options;
+    if (this.evidence === this.judged) return;
     this.evidence = crashEvidence.judge(this.evidence, now());
+    const isFinal = crashEvidence.isSettled(this.evidence, now());
+    this.judged = isFinal ? this.evidence : undefined;
     const before = this.reported;
     this.report();
     // One that knows better can object.
@@ -197,8 +205,9 @@
   /** Objects to a suspicion, also to gateways that are linked later. */
   private announceAnswered(keys: readonly string[]): void {
     const {kind, applyAndAnnounce} = this.options;
-    const all = new Set([...this.objections, ...keys]);
-    this.objections = [...all].slice(-OBJECTIONS_MAX);
+    const added = new Set(keys);
+    const others = this.objections.filter(key => !added.has(key));
+    this.objections = [...others, ...added].slice(-OBJECTIONS_MAX);
     applyAndAnnounce({type: 'suspects-answered', kind, keys});
   }
 
--- a/packages/gateway/src/core/suspects.ts
+++ b/packages/gateway/src/core/suspects.ts
@@ -199,6 +199,14 @@
     };
   }
 
+  /** Numbers of requests and of parts that were forgotten, being too many. */
+  forgottenCounts() {
+    return {
+      requests: this.requests.forgottenCount(),
+      parts: this.parts.forgottenCount(),
+    };
+  }
+
   removeExpired(): void {
     this.requests.removeExpired();
     this.parts.removeExpired();
