fix(decisions): rounds of losses are counted where many servers are lost in each (BUDGET)

What callers saw: a part that crashes 20 servers at a time was never refused.

Cause: 16 losses were kept for a key, the newest ones. In a round of 20 the loss that starts the round was dropped, and rounds are what is counted.

The fix: 64 losses are kept, and a loss beside others is dropped before one that starts a round. Test: `a part that crashes 20 servers at a time is blocked` failed before and passes now.

--- a/packages/decisions/src/serving/add_crash_loss.ts
+++ b/packages/decisions/src/serving/add_crash_loss.ts
@@ -4,8 +4,17 @@
 /** Milliseconds between losses that may have the same cause. */
 const ROUND_MS = 500;
 
-/** Largest number of losses kept for a key. */
-const LOSSES_MAX = 16;
+/** Largest number of losses kept for a key; each may be one of many in a round. */
+const LOSSES_MAX = 64;
+
+/** Drops the oldest loss beside others, as rounds are what is counted. */
+function withoutSurplus(
+  losses: CrashSuspect['losses'],
+): CrashSuspect['losses'] {
+  if (losses.length <= LOSSES_MAX) return losses;
+  const beside = losses.findIndex(({startsRound}) => !startsRound);
+  return losses.toSpliced(Math.max(0, beside), 1);
+}
 
 /** The suspect after one more loss; the same one for a crash that it knows. */
 export function addCrashLoss(
@@ -24,7 +33,7 @@
   return {
     ...suspect,
     hasBegun,
-    losses: [...losses, loss].slice(-LOSSES_MAX),
+    losses: withoutSurplus([...losses, loss]),
     updatedAt: startsRound ? now : updatedAt,
   };
 }
--- a/packages/gateway/src/__tests__/long_part_lists.test.ts
+++ b/packages/gateway/src/__tests__/long_part_lists.test.ts
@@ -129,6 +129,20 @@
   expect(fixture.fleet.counts().forgottenSuspects.parts).toBeGreaterThan(0);
 });
 
+// Guards against rounds that are not counted since many servers were lost in one.
+test('a part that crashes 20 servers at a time is blocked (BUDGET)', () => {
+  const fixture = gatewayFixture(SERVERS);
+  Array.from({length: 4}, (_, round) => {
+    fixture.clock.now += 5_000;
+    SERVERS.slice(0, 20).forEach((serverId, i) => {
+      fixture.clock.now -= 40;
+      lose(fixture, `${serverId}-${round}`, {[`b-${round}-${i}`]: [CRASHING]});
+    });
+  });
+  settle(fixture);
+  expect(isRefused(fixture, [CRASHING])).toEqual(true);
+});
+
 test('sound parts that were answered are not blocked with a crashing one (LOST)', () => {
   const fixture = gatewayFixture(SERVERS);
   const shared = partsOf('shared', 299);
