fix(gateway): losses of prompts with long lists of parts fit into the frames of a link

What callers saw: nothing yet. A frame of more than 1 MiB closes its link, and all changes of 5 ms, or all losses of 10 s, went in one frame.

The fix: a loss names at most 1,024 parts in one change; others take several changes for one loss, since they name one crash. Changes are split into messages of about 256 KiB, also those for a gateway that is linked later, and losses kept for it have at most 16,384 parts together.

Tests: long_changes.test.ts (new functions, so it could not fail before).

--- a/packages/gateway/src/core/suspects.ts
+++ b/packages/gateway/src/core/suspects.ts
@@ -2,6 +2,8 @@
 import type {BackendServer, Failure, SuspectChange} from '@figfall/decisions';
 import {computeFingerprint} from '@figfall/node-link';
 import type {CallSpec} from '../calls/call_spec.js';
+import {OwnLosses} from './own_losses.js';
+import {splitLoss} from './split_loss.js';
 import {SuspectList} from './suspect_list.js';
 
 type ServerLost = Extract<SuspectChange, {readonly type: 'server-lost'}>;
@@ -28,12 +30,6 @@
   readonly hadEvents: boolean;
 }
 
-interface OwnLoss {
-  readonly change: ServerLost;
-  /** Monotonic time in milliseconds. */
-  readonly at: number;
-}
-
 /** Makes a request wait until it is known whether it is to blame. */
 const PENDING = createFailure(
   'not-ready',
@@ -48,12 +44,6 @@
   doubtfulTrialsMs: [1_000, 5_000],
 };
 
-/** Milliseconds for which a loss is kept for gateways that are linked later. */
-const LOSS_KEPT_MS = 10_000;
-
-/** Losses that are kept for gateways that are linked later. */
-const LOSSES_MAX = 256;
-
 /** Milliseconds for which a part that was answered is above suspicion. */
 const PART_ANSWERED_TTL_MS = 60_000;
 
@@ -72,8 +62,7 @@
   private readonly requests: SuspectList;
   private readonly parts: SuspectList;
   private lost = lostServers.empty();
-  /** What this gateway has lost, and when. */
-  private ownLosses: readonly OwnLoss[] = [];
+  private readonly ownLosses = new OwnLosses();
   /** Requests that were sent as a trial. */
   private readonly trials = new WeakSet<CallSpec['req']>();
 
@@ -141,9 +130,9 @@
       heldMs,
       hadEvents,
     };
-    const at = this.options.now();
-    this.ownLosses = [...this.ownLosses, {change, at}].slice(-LOSSES_MAX);
-    this.options.applyAndAnnounce(change);
+    const {now, applyAndAnnounce} = this.options;
+    this.ownLosses.add(change, now());
+    splitLoss(change).forEach(applyAndAnnounce);
   }
 
   /** Records a response of a server to a request that was sent at `sentAt`. */
@@ -180,12 +169,9 @@
 
   /** What a newly linked gateway should know. */
   changesForNewPeer(): readonly SuspectChange[] {
-    const now = this.options.now();
-    const losses = this.ownLosses
-      .filter(({at}) => now - at < LOSS_KEPT_MS)
-      .map(({change, at}) => ({...change, ageMs: now - at}));
+    const losses = this.ownLosses.recent(this.options.now());
     return [
-      ...losses,
+      ...losses.flatMap(splitLoss),
       ...this.requests.changesForNewPeer(),
       ...this.parts.changesForNewPeer(),
     ];
--- a/packages/gateway/src/peers/peer_table.ts
+++ b/packages/gateway/src/peers/peer_table.ts
@@ -7,6 +7,7 @@
 import type {HostPort} from './host_port.js';
 import type {FeedOptions} from './feed_options.js';
 import {isPort} from './is_port.js';
+import {splitChanges} from './split_changes.js';
 import {StoreReports} from './store_reports.js';
 import {WorkFeed} from './work_feed.js';
 
@@ -40,6 +41,10 @@
   readonly onRelay?: FeedOptions['onRelay'];
 }
 
+function workMessage(changes: readonly WorkChange[]) {
+  return {type: 'work', changes} as const;
+}
+
 function idOf({host, port}: HostPort): string {
   return `${host}:${port}`;
 }
@@ -142,7 +147,12 @@
     this.links.add(link);
     link.send(WORK_STREAM, this.addressMessage());
     const changes = this.options.fleet.changesForNewPeer();
-    link.send(WORK_STREAM, this.feed.completeMessage(changes));
+    const work = changes.filter(isFeedChange);
+    const others = changes.filter(change => !isFeedChange(change));
+    const [first = [], ...rest] = splitChanges(others);
+    const complete = this.feed.completeMessage([...first, ...work]);
+    link.send(WORK_STREAM, complete);
+    rest.forEach(part => link.send(WORK_STREAM, workMessage(part)));
     this.updateFeedLinks();
   }
 
@@ -227,8 +237,10 @@
   }
 
   private flush(): void {
-    const message = {type: 'work', changes: this.pendingChanges} as const;
+    const messages = splitChanges(this.pendingChanges).map(workMessage);
     this.pendingChanges = [];
-    this.links.forEach(link => link.send(WORK_STREAM, message));
+    messages.forEach(message =>
+      this.links.forEach(link => link.send(WORK_STREAM, message)),
+    );
   }
 }
