--- a/packages/gateway/src/core/create_call_log.ts
+++ b/packages/gateway/src/core/create_call_log.ts
@@ -3,6 +3,7 @@
 import type {CallObserver} from '../calls/call_observer.js';
 import type {CallOutcome} from '../calls/call_outcome.js';
 import type {CallSpec} from '../calls/call_spec.js';
+import {describeParts} from './describe_parts.js';
 import type {Fleet} from './fleet.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
 import type {Placement} from './placement.js';
@@ -84,7 +85,7 @@
           ...attempt,
           silentMs: attempt.silentMs && Math.round(attempt.silentMs),
           idleMs: attempt.idleMs && Math.round(attempt.idleMs),
-          sharedParts: req.prompt?.sharedParts.join(' '),
+          sharedParts: req.prompt && describeParts(req.prompt.sharedParts),
         }),
       onDefect: ({req}, error) => {
         metrics.defects.inc();
