test(soak): prompts have long lists of parts, and the crashing one stands anywhere

Three in seven now have 20, 60 or 300 more of their own; a generator of its own draws them, so that seeds keep what else they drew.

--- a/playground/src/soak/soak_callers.ts
+++ b/playground/src/soak/soak_callers.ts
@@ -4,6 +4,7 @@
 import {createRandom} from '../random/create_random.js';
 import {sleep} from '../http/sleep.js';
 import {CALLER_TIMEOUT_MS} from './caller_timeout_ms.js';
+import {LongPartLists} from './long_part_lists.js';
 import type {PlantedFault} from './planted_fault.js';
 
 interface CallersOptions {
@@ -72,9 +73,11 @@
   private isStopped = false;
   private sentCount = 0;
   private readonly agents: Agent[] = [];
+  private readonly partLists: LongPartLists;
 
   constructor(private readonly options: CallersOptions) {
     this.random = createRandom(options.seed + 1);
+    this.partLists = new LongPartLists(options.seed);
   }
 
   /** Sends requests until `stop` is called and those in flight have ended. */
@@ -191,12 +194,9 @@
   private promptParts(requestId: string, crashingPart?: string): string {
     const subject = this.sentCount % SUBJECTS;
     const crashing = crashingPart === undefined ? [] : [`${crashingPart}:50`];
-    return [
-      'rules:40',
-      `subject-${subject}:90`,
-      ...crashing,
-      `${requestId}:9`,
-    ].join(',');
+    const shared = ['rules:40', `subject-${subject}:90`];
+    const parts = this.partLists.extend(shared, requestId, crashing);
+    return [...parts, `${requestId}:9`].join(',');
   }
 
   private randomBelow(limit: number): number {
