--- a/bench/src/scenarios/scenario_table.ts
+++ b/bench/src/scenarios/scenario_table.ts
@@ -1,6 +1,7 @@
 import {atMostOnce} from './at_most_once.js';
 import {coldStart} from './cold_start.js';
 import {config} from './config.js';
+import {crashEvidenceCost} from './crash_evidence_cost.js';
 import {crashingRequest} from './crashing_request.js';
 import {gatewayCost} from './gateway_cost.js';
 import {ledger} from './ledger.js';
@@ -29,5 +30,6 @@
   ledger,
   overhead,
   'gateway-cost': gatewayCost,
+  'crash-evidence-cost': crashEvidenceCost,
   slopes,
 };
